--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -58,7 +58,11 @@
         for line in lines["targets"]:
             if STATES[line["state"]] is UpstreamState.GONE:
                 self.idents.pop(line["uid"], None)
-        return UpstreamsUpdated(kind, entries, int(lines["rev"])), addresses
+        event = UpstreamsUpdated(kind, entries, int(lines["rev"]))
+        log.info("list %d, %s: %s", event.version, kind.value, " ".join(
+            f"{line['uid']}={entry.id}:{entry.state.value}"
+            for line, entry in zip(lines["targets"], entries, strict=True)))
+        return event, addresses
 
     def entry(self, line: Any) -> tuple[Upstream, Address]:
         uid = line["uid"]
@@ -93,6 +97,7 @@
             transport.abort()
             return
         host, port = self.discovery.address
+        log.info("watch since %d", self.discovery.version)
         transport.write(b"GET /discovery/hosts?follow=1&since=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
                         % (self.discovery.version, host.encode(), port))
 
@@ -205,5 +210,6 @@
 
     def ended(self, watch: Watch) -> None:
         if watch is self.watch:
+            log.info("the watch has ended")
             self.stop()
             self.listener(UpstreamsUpdated(ListKind.FAILED), {})
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -106,6 +106,7 @@
     flight: Flight | None = None
     timer: asyncio.TimerHandle | None = None
     ended: bool = False
+    outcome: api.Outcome | None = None
 
 
 @dataclass(slots=True)
@@ -245,8 +246,18 @@
         if request is None or request.over:
             return
         self._finish(request)
+        if answer.verdict is not Verdict.SERVED:
+            self._log_unserved(request, answer)
         request.reply(answer)
 
+    def _log_unserved(self, request: Request, answer: Answer) -> None:
+        """What its client would ask about, by the id that the client knows."""
+        now_us = clock_us()
+        tries = ", ".join(f"upstream {a.upstream} {a.outcome.value if a.outcome else 'out'} sent at "
+                          f"{(a.sent_us - request.call.arrived_us) // 1000} ms" for a in request.attempts)
+        log.info("request %s %s after %d of %d ms: %s", request.call.ident.decode(), answer.verdict.value,
+                 (now_us - request.call.arrived_us) // 1000, request.call.deadline_us // 1000, tries or "not sent")
+
     def _finish(self, request: Request) -> None:
         """Nothing is owed any more, and what has not been written yet is not sent."""
         request.over = True
@@ -307,6 +318,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        attempt.outcome = result.outcome
         attempt.flight = None
         if attempt.timer is not None:
             attempt.timer.cancel()
