--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -58,11 +58,13 @@
     pool = Pool(settings.idle_us, settings.settings.connect_timeout_us, most=settings.sockets * 3 // 8)
     host = Host(settings.settings, settings.seed, pool)
     directory = Directory(settings.zones, settings.kinds)
-    discovery = Discovery(settings.discovery, directory, host.list_changed)
+    discovery = Discovery(settings.discovery, directory, host.list_changed,
+                          pushed=not settings.settings.list_on_request)
     host.subscribe = discovery.subscribe
     if settings.known:
         discovery.cached(settings.known)
     host.start()
+    discovery.start()
     # the rest is for discovery, the listener, the log and what is on its way to be closed
     server = Server(host, settings.settings, most_clients=settings.sockets // 2)
     following = loop.create_task(follow(settings.path, reload, discovery))
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 SILENCE_S = 4.5  # an empty line comes every 2 s
+WATCH_AGAIN_S = 0.1  # its agent is on this machine and answers at no cost; sooner would spin while it is away
 LONGEST_LINE = 1024 * 1024
 STATES = {"active": UpstreamState.READY, "leaving": UpstreamState.DRAINING, "left": UpstreamState.GONE}
 Address = tuple[str, int]
@@ -132,13 +133,15 @@
 
 
 class Discovery:
-    """Holds the watch that the module has asked for, and tells how it fails, once for each call."""
+    """Holds the watch. Where the list must be asked for the module does so, and is told how each call fails;
+    where changes are pushed it never asks, and the watch is how they are pushed: it is always there."""
 
-    def __init__(self, address: Address, directory: Directory, listener: Listener) -> None:
+    def __init__(self, address: Address, directory: Directory, listener: Listener, pushed: bool) -> None:
         self.loop = asyncio.get_running_loop()
         self.address = address
         self.directory = directory
         self.listener = listener
+        self.pushed = pushed
         self.version = 0
         self.active = False  # the module wants to be told, also while it waits to ask again
         self.watch: Watch | None = None
@@ -157,6 +160,11 @@
         self.version = event.version
         self.listener(event, addresses)
 
+    def start(self) -> None:
+        """Hazard: without a watch a pushed list would stay for ever as it was known at the start."""
+        if self.pushed:
+            self.subscribe(True)
+
     def subscribe(self, active: bool) -> None:
         """Ask for changes from now on, in place of an earlier call; or stop."""
         self.stop()
@@ -210,6 +218,10 @@
 
     def ended(self, watch: Watch) -> None:
         if watch is self.watch:
-            log.info("the watch has ended")
+            if watch.transport is not None:
+                log.info("the watch has ended")
             self.stop()
+            if self.pushed:
+                self.timer = self.loop.call_later(WATCH_AGAIN_S, self.subscribe, True)
+                return
             self.listener(UpstreamsUpdated(ListKind.FAILED), {})
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -255,8 +255,9 @@
         now_us = clock_us()
         tries = ", ".join(f"upstream {a.upstream} {a.outcome.value if a.outcome else 'out'} sent at "
                           f"{(a.sent_us - request.call.arrived_us) // 1000} ms" for a in request.attempts)
+        took_ms = (now_us - request.call.arrived_us) // 1000
         log.info("request %s %s after %d of %d ms: %s", request.call.ident.decode(), answer.verdict.value,
-                 (now_us - request.call.arrived_us) // 1000, request.call.deadline_us // 1000, tries or "not sent")
+                 took_ms, request.call.deadline_us // 1000, tries or "not sent")
 
     def _finish(self, request: Request) -> None:
         """Nothing is owed any more, and what has not been written yet is not sent."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -610,6 +610,29 @@
     run(test)
 
 
+def test_a_pushed_list_is_watched_unasked_and_watched_again_after_each_break() -> None:
+    async def test() -> None:
+        old, new, discovery = Upstream(answering(OK)), Upstream(answering(OK)), Discovery()
+        await new.start()
+        async with sidecar(old, discovery=discovery, list_on_request=False) as it:
+            await discovery.watched()
+            for _ in range(2):
+                discovery.writers[-1].transport.abort()
+                await discovery.watched()
+            changes = [entry("u0", old.port, "leaving"), entry("u1", new.port)]
+            discovery.line(listing(*changes, rev=2, full=False))
+            async with asyncio.timeout(PATIENCE_S):
+                while not new.requests:
+                    assert status(await it.ask(request())) == 200
+            before = len(old.requests)
+            for _ in range(5):
+                assert status(await it.ask(request())) == 200
+            assert len(old.requests) == before
+        new.stop()
+
+    run(test)
+
+
 def test_a_list_that_can_not_be_read_ends_the_watch_and_leaves_the_old_list() -> None:
     async def test() -> None:
         upstream, discovery = Upstream(answering(OK)), Discovery()
