--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -37,8 +37,9 @@
 class Attempt:
     """One attempt: it has a connection, or waits until its connection is up."""
 
-    def __init__(self, data: bytes, ended: Callable[[Result], None]) -> None:
+    def __init__(self, data: bytes, ended: Callable[[Result], None], ident: bytes = b"") -> None:
         self.data = data
+        self.ident = ident  # of the request, for the log
         self.ended = ended
         self.connection: Connection | None = None
         self.written = False
@@ -201,6 +202,9 @@
         if self.idle_us > 0:
             self.pool.learn(self.idle_us, broke=outcome is Outcome.RESET and self.received == 0)
         result = Result(outcome)
+        if outcome is Outcome.RESET and attempt is not None:
+            log.info("request %s: upstream %d reset, idle for %d ms before, %d bytes received",
+                     attempt.ident.decode(), self.upstream, self.idle_us // 1000, self.received)
         if outcome is Outcome.OK:
             result = Result(outcome, bytes(self.body), self.content_type)
         self.parser = None
@@ -250,7 +254,7 @@
 
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
               ended: Callable[[Result], None]) -> Attempt:
-        attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended)
+        attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended, call.ident)
         now_us = clock_us()
         while idle := self.idle.get(upstream):
             connection = idle[0]
