--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -17,7 +17,10 @@
 # hazard: an upstream failing a part would lose them all
 REISSUED = (*INSTANT_FAULTS, api.Outcome.SPOILT, api.Outcome.TIMEOUT)
 FAULT_MEMORY = 4  # attempts that make up an upstream's share of faults
-FAULT_SHARE = 0.35  # two faults in three attempts: more than what strikes all upstreams alike does by chance
+FAULT_SHARE = 0.35  # two faults in three attempts, where all is well; more is by chance where all fail a part
+FLEET_MEMORY = 64  # attempts that make up the share of faults at all upstreams together
+FAULTS_ALIKE = 2  # times that share is what chance adds to an upstream's own, smoothed over so few attempts
+MOST_ALIKE = 1 / 3  # adds no more, so that four faults in a row tell, however many upstreams fail
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
@@ -52,6 +55,7 @@
         self.served = 0.0  # answers so far, and a tenth of what was admitted
         self.in_use: list[Server] = []  # upstreams whose slots are open; the others' stay closed till needed
         self.rate = 0.0  # sends a second, of late
+        self.faults = 0.0  # share of all attempts that failed at once or spoilt, smoothed
         self.rated_us = now_us
 
 
@@ -263,7 +267,9 @@
         # fault would shut each of them; only turning work away tells at once of the upstream itself
         fault = outcome in INSTANT_FAULTS or outcome is api.Outcome.SPOILT
         server.faults += (float(fault) - server.faults) / FAULT_MEMORY
-        faulty = outcome is api.Outcome.FULL or (fault and server.faults > FAULT_SHARE)
+        pool.faults += (float(fault) - pool.faults) / FLEET_MEMORY
+        alike = min(FAULTS_ALIKE * pool.faults, MOST_ALIKE)
+        faulty = outcome is api.Outcome.FULL or (fault and server.faults > FAULT_SHARE + alike)
         if fault and not faulty and outcome is not api.Outcome.SPOILT:
             return  # and its time tells nothing
         load = min(2.0, elapsed_us / slow_us) if outcome in ANSWERED else 2.0
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
 import pytest
 
 from glenkeel.interface import (
+    CloseIdle,
     Fail,
     ListKind,
     Log,
@@ -520,6 +522,27 @@
     assert refused_of(world, 6) == 0
 
 
+@pytest.mark.parametrize("fault", [Outcome.RESET, Outcome.SPOILT, Outcome.ERROR])
+def test_a_part_of_the_attempts_failing_everywhere_rests_hardly_any_upstream(fault: Outcome) -> None:
+    world, chance = ready_world(9, second_copies=False), random.Random(5)
+    for _ in range(500):
+        requests = [world.arrive(PAY) for _ in range(6)]
+        world.advance(60_000)
+        for request in requests:
+            world.end(request, 0, fault if chance.random() < 0.1 else Outcome.OK)
+    assert sum(1 for action in world.log if isinstance(action, CloseIdle)) < 10  # of 300 faults
+
+
+def test_an_upstream_that_always_fails_rests_even_where_all_others_fail_a_part() -> None:
+    world, chance = ready_world(9, second_copies=False), random.Random(5)
+    for _ in range(3000):
+        request = world.arrive(PAY)
+        world.advance(20_000)
+        fails = world.sends(request)[0].upstream == 100 or chance.random() < 0.2
+        world.end(request, 0, Outcome.RESET if fails else Outcome.OK)
+    assert sum(1 for send in world.sends()[-1000:] if send.upstream == 100) < 1000 / 9 / 4
+
+
 def test_slots_open_fast_after_the_start_of_a_busy_sidecar() -> None:
     def refused(kind: ListKind) -> int:
         world = World(settings())
