--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -33,6 +33,8 @@
 OVERTAKEN = 4  # later sends answered before it tell an attempt that is lost from one that waits its turn
 SILENCE_MEMORY = 16  # attempts of a class that make up the share of them that an upstream leaves unanswered
 SILENCE_BORNE = 0.1  # at this share it is drawn a quarter as often: far more than is late by chance
+TURNED_BORNE = 0.1  # share of a class turned away at which it is drawn half as often: it costs a reissue
+TAKEN = 4  # answers of other classes that tell an upstream that turns one class away from a full one
 MUTE = 3  # attempts of a class unanswered in a row from which on it rests there between sends
 LONGEST_MUTE = 5  # as if so many
 MOST_MUTE = 2 / 3  # hazard: with more upstreams than this resting the fleet is slow, and none rests
@@ -72,6 +74,10 @@
         self.silence = [0.0] * classes
         self.mute = [0] * classes
         self.mute_until_us = [0] * classes
+        # the share of attempts that it turned away, smoothed; and how many it answered since it was last
+        # taken to be full
+        self.turned = [0.0] * classes
+        self.taken = [0] * classes
         self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
         self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
@@ -353,7 +359,7 @@
             rests = self.now_us < server.mute_until_us[index] and some_rest
             if slots > 0 and not rests and self.in_group(request, server):
                 share = slots / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
-                found.append((server, share))
+                found.append((server, share / (1.0 + server.turned[index] / TURNED_BORNE)))
         return [pair for pair in found if pair[0] not in tried] or found
 
     def may_send(self, request: Request) -> bool:
@@ -424,6 +430,25 @@
                 server.mute_until_us[index] = self.now_us + int(usual_us * 2 ** (server.mute[index] - 1))
         self.give_up_slot(attempt)
 
+    def turned_by_class(self, attempt: Attempt) -> bool:
+        """Whether it was turned away for its class alone. Hazard: an upstream may turn away one class, or a
+        part of it, and have room for the others; taken to be full it would rest, and the rest of the fleet
+        choke. So the class is drawn less there, and only the first time counts against the upstream, until
+        it turned away another class, too, or answered none. A full one soon does."""
+        server, index = attempt.server, attempt.class_index
+        if attempt.ended in ANSWERED:
+            server.taken[index] += 1
+            server.turned[index] -= server.turned[index] / FAULT_MEMORY
+        if attempt.ended is not api.Outcome.FULL:
+            return False
+        others = [taken for other, taken in enumerate(server.taken) if other != index]
+        known = server.turned[index] > 0.02 and max(others, default=0) >= TAKEN
+        server.turned[index] += (1.0 - server.turned[index]) / FAULT_MEMORY
+        server.taken[index] = 0
+        if not known:
+            server.taken = [0] * len(server.taken)
+        return known
+
     def give_up_slot(self, attempt: Attempt) -> None:
         """Frees the slot of an attempt that is lost: silent for too long, while its upstream answers what was
         sent later. Hazard: each of the few that are never answered would hold a slot to its deadline, many
@@ -469,7 +494,7 @@
         # hazard: what others overtook tells nothing of the load; judged by it, an upstream that leaves some
         # unanswered would be cut to one slot, and its time would be that of no answer
         lost = (attempt.lost or attempt.overtaken > 0) and event.outcome is api.Outcome.TIMEOUT
-        if not lost:
+        if not lost and not self.turned_by_class(attempt):
             self.judge(attempt, event.elapsed_us, request.event.class_index)
         if event.outcome in ANSWERED:
             server.pool.served += 1.0
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -594,3 +594,29 @@
     world.advance(1)
     fill(world)
     assert slots > 2 and len(world.sends()) - sent <= 1
+
+
+def test_an_upstream_that_turns_one_class_away_keeps_its_part_of_the_others() -> None:
+    world = ready_world(second_copies=False)
+    for _ in range(400):
+        for request in (world.arrive(PAY), world.arrive(READ)):
+            world.advance(10_000)
+            for number, send in enumerate(world.sends(request)):  # a reissue follows what was turned away
+                turned = send.upstream == 100 and world.owed[request].event.class_index == PAY
+                if world.owed[request].tries[number].outcome is None:
+                    world.end(request, number, Outcome.FULL if turned else Outcome.OK)
+        world.advance(10_000)
+    late = world.sends()[-400:]
+    there = [world.owed[send.request].event.class_index for send in late if send.upstream == 100]
+    assert there.count(READ) > 400 / 2 / 4 / 2 and there.count(PAY) < 400 / 2 / 4 / 4
+
+
+def test_an_upstream_that_turns_all_classes_away_rests() -> None:
+    world = ready_world(second_copies=False)
+    for number in range(400):
+        request = world.arrive(PAY if number % 2 else READ)
+        world.advance(10_000)
+        for attempt, send in enumerate(world.sends(request)):
+            if world.owed[request].tries[attempt].outcome is None:
+                world.end(request, attempt, Outcome.FULL if send.upstream == 100 else Outcome.OK)
+    assert sum(1 for send in world.sends()[-200:] if send.upstream == 100) < 200 / 4 / 5
