--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -41,6 +41,7 @@
 ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
 LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
 RATE_MEMORY_US = 5_000_000
+SURGE_MEMORY_US = 500_000  # a start or a surge is known within it; shorter, a light sidecar would seem busy
 RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
 MOST_RETRIES = 5.0  # reissues in hand after a calm spell
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
@@ -57,6 +58,7 @@
         self.served = 0.0  # answers so far, and a tenth of what was admitted
         self.in_use: list[Server] = []  # upstreams whose slots are open; the others' stay closed till needed
         self.rate = 0.0  # sends a second, of late
+        self.surge = 0.0  # the same, of the last moments only
         self.faults = 0.0  # share of all attempts that failed at once or spoilt, smoothed
         self.rated_us = now_us
 
@@ -285,7 +287,9 @@
             # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
             # are thinned, at once as queues stay for seconds, but not for one slow answer among quick ones
             pool.load += (load - pool.load) / 8
-            gain = ADMIT_GAIN / max(1.0, pool.rate) if load < FULL_LOAD or pool.load > 0.5 else 0.0
+            # hazard: by the long memory alone a start or a surge would be thinned as if answers were few
+            a_second = max(1.0, pool.rate, pool.surge)
+            gain = ADMIT_GAIN / a_second if load < FULL_LOAD or pool.load > 0.5 else 0.0
             pool.admitted *= max(0.3, 1.0 + gain * (FULL_LOAD - load))
             pool.admitted = min(1.0, max(pool.admitted, LEAST_ADMITTED))
         # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
@@ -390,8 +394,9 @@
         server.used += 1
         pool = server.pool
         pool.credit = max(0.0, pool.credit - 1.0)
-        faded = math.exp((pool.rated_us - self.now_us) / RATE_MEMORY_US)
-        pool.rate, pool.rated_us = pool.rate * faded + 1_000_000 / RATE_MEMORY_US, self.now_us
+        since_us, pool.rated_us = self.now_us - pool.rated_us, self.now_us
+        pool.rate = pool.rate * math.exp(-since_us / RATE_MEMORY_US) + 1_000_000 / RATE_MEMORY_US
+        pool.surge = pool.surge * math.exp(-since_us / SURGE_MEMORY_US) + 1_000_000 / SURGE_MEMORY_US
         if server not in pool.in_use:
             pool.in_use.append(server)
         self.retries = min(MOST_RETRIES, self.retries + (RETRY_SHARE if not request.attempts else -1.0))
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -620,3 +620,22 @@
             if world.owed[request].tries[attempt].outcome is None:
                 world.end(request, attempt, Outcome.FULL if send.upstream == 100 else Outcome.OK)
     assert sum(1 for send in world.sends()[-200:] if send.upstream == 100) < 200 / 4 / 5
+
+
+def test_a_few_slow_answers_in_the_first_second_thin_a_busy_sidecar_no_more_than_later() -> None:
+    def sent_after_slow_answers(busy_us: int) -> int:
+        world = ready_world(9, second_copies=False)
+        end_us = world.now_us + busy_us
+        while world.now_us < end_us:
+            requests = [world.arrive(PAY) for _ in range(3)]
+            world.advance(10_000)
+            for request in requests:
+                world.end(request, 0, Outcome.OK)
+        for _ in range(3):
+            slow = [request for request in (world.arrive(PAY) for _ in range(9)) if world.sends(request)]
+            world.advance(200_000)
+            for request in slow:
+                world.end(request, 0, Outcome.OK)
+        return sum(1 for _ in range(9) if world.sends(world.arrive(PAY)))
+
+    assert sent_after_slow_answers(500_000) >= sent_after_slow_answers(10_000_000) - 1
