--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -34,7 +34,7 @@
 SILENCE_MEMORY = 16  # attempts of a class that make up the share of them that an upstream leaves unanswered
 SILENCE_BORNE = 0.1  # at this share it is drawn a quarter as often: far more than is late by chance
 TURNED_BORNE = 0.1  # share of a class turned away at which it is drawn half as often: it costs a reissue
-TAKEN = 4  # answers of other classes that tell an upstream that turns one class away from a full one
+MOST_ROOM = 8  # requests turned away in a row, after quick answers, that tell a full upstream all the same
 MUTE = 3  # attempts of a class unanswered in a row from which on it rests there between sends
 LONGEST_MUTE = 5  # as if so many
 MOST_MUTE = 2 / 3  # hazard: with more upstreams than this resting the fleet is slow, and none rests
@@ -76,10 +76,8 @@
         self.silence = [0.0] * classes
         self.mute = [0] * classes
         self.mute_until_us = [0] * classes
-        # the share of attempts that it turned away, smoothed; and how many it answered since it was last
-        # taken to be full
-        self.turned = [0.0] * classes
-        self.taken = [0] * classes
+        self.turned = [0.0] * classes  # by class: the share of attempts that it turned away, smoothed
+        self.room = 0  # quick answers of late, less the slow ones and what it turned away
         self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
         self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
@@ -435,24 +433,23 @@
                 server.mute_until_us[index] = self.now_us + int(usual_us * 2 ** (server.mute[index] - 1))
         self.give_up_slot(attempt)
 
-    def turned_by_class(self, attempt: Attempt) -> bool:
-        """Whether it was turned away for its class alone. Hazard: an upstream may turn away one class, or a
-        part of it, and have room for the others; taken to be full it would rest, and the rest of the fleet
-        choke. So the class is drawn less there, and only the first time counts against the upstream, until
-        it turned away another class, too, or answered none. A full one soon does."""
+    def turned_with_room(self, attempt: Attempt, elapsed_us: int) -> bool:
+        """Whether it was turned away by an upstream that has room: what a full one takes in waits behind a
+        whole queue, so its answers are slow. Hazard: one that turns a class away, or a part of all, and is
+        quick with the rest would be taken for full and rest, and the others choke. So it keeps its slots,
+        and only the class is drawn less there. One that turns away more than it answers is full after all."""
         server, index = attempt.server, attempt.class_index
         if attempt.ended in ANSWERED:
-            server.taken[index] += 1
+            quick = elapsed_us < FULL_LOAD * self.half_aim_us(index)
+            server.room = min(server.room + 1, MOST_ROOM) if quick else max(server.room - 1, 0)
             server.turned[index] -= server.turned[index] / FAULT_MEMORY
         if attempt.ended is not api.Outcome.FULL:
             return False
-        others = [taken for other, taken in enumerate(server.taken) if other != index]
-        known = server.turned[index] > 0.02 and max(others, default=0) >= TAKEN
         server.turned[index] += (1.0 - server.turned[index]) / FAULT_MEMORY
-        server.taken[index] = 0
-        if not known:
-            server.taken = [0] * len(server.taken)
-        return known
+        server.room -= 1
+        has_room = server.room >= 0
+        server.room = max(server.room, 0)
+        return has_room
 
     def give_up_slot(self, attempt: Attempt) -> None:
         """Frees the slot of an attempt that is lost: silent for too long, while its upstream answers what was
@@ -499,7 +496,7 @@
         # hazard: what others overtook tells nothing of the load; judged by it, an upstream that leaves some
         # unanswered would be cut to one slot, and its time would be that of no answer
         lost = (attempt.lost or attempt.overtaken > 0) and event.outcome is api.Outcome.TIMEOUT
-        if not lost and not self.turned_by_class(attempt):
+        if not lost and not self.turned_with_room(attempt, event.elapsed_us):
             self.judge(attempt, event.elapsed_us, request.event.class_index)
         if event.outcome in ANSWERED:
             server.pool.served += 1.0
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -611,6 +611,23 @@
     assert there.count(READ) > 400 / 2 / 4 / 2 and there.count(PAY) < 400 / 2 / 4 / 4
 
 
+@pytest.mark.parametrize(("took_us", "keeps"), [(10_000, True), (140_000, False)])
+def test_an_upstream_that_turns_a_part_away_keeps_its_slots_if_it_is_quick_with_the_rest(
+        took_us: int, keeps: bool) -> None:
+    world, chance = ready_world(second_copies=False), random.Random(5)
+    for _ in range(400):
+        requests = [world.arrive(PAY) for _ in range(4)]
+        world.advance(took_us)
+        for request in requests:
+            sent = world.sends(request)
+            if sent and world.owed[request].tries[0].outcome is None:
+                turned = sent[0].upstream == 100 and chance.random() < 0.3
+                world.end(request, 0, Outcome.FULL if turned else Outcome.OK)
+        world.advance(2_000_000 if took_us < 100_000 else 0)
+    rested = any(action.upstream == 100 for action in world.log if isinstance(action, CloseIdle))
+    assert rested is not keeps
+
+
 def test_an_upstream_that_turns_all_classes_away_rests() -> None:
     world = ready_world(second_copies=False)
     for number in range(400):
