Make the list's source and the fronts parts that serve puts together

Need: planners, EndpointSlices and GraphQL have to stand beside the platform's discovery and HTTP front without a change to serve. Change: plovertrail/parts.py names what a source and a front must do; serve takes Parts, by default the platform's. The line on an unserved request is rendered only if it is written, as an overload writes five a second of hundreds, and its record carries the request's id.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -7,88 +7,71 @@
 import os
 import signal
 import sys
-import time
 
 from glenkeel.wire import WireError
 from plovertrail import config
-from plovertrail.discovery import Directory, Discovery
 from plovertrail.host import Host
-from plovertrail.server import Server
+from plovertrail.logs import RateLimit
+from plovertrail.parts import PLATFORM, Parts, Source
 from plovertrail.upstreams import Pool
 
 log = logging.getLogger(__name__)
 
-LINES_A_SECOND = 5
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 LONGEST_STOP_S = 3.6  # SIGKILL comes 0.7 s after the longest deadline, of 3 s, at the soonest
 
 
-class RateLimit(logging.Filter):
-    """Lets a few lines a second through: the log may be a pipe, and a full one would hold up everything."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.second = 0
-        self.lines = 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        second = int(time.monotonic())
-        if second != self.second:
-            self.second, self.lines = second, 0
-        self.lines += 1
-        return self.lines <= LINES_A_SECOND
-
-
-async def follow(path: str, reload: asyncio.Event, discovery: Discovery) -> None:
-    """Read the configuration again whenever told to; of what it says only discovery's address is taken."""
+async def follow(path: str, reload: asyncio.Event, source: Source) -> None:
+    """Read the configuration again whenever told to; of what it says only the source's part is taken."""
     while True:
         await reload.wait()
         reload.clear()
         try:
-            discovery.move(config.load(path).discovery)
+            source.reload(config.load(path))
         except UNREADABLE as error:
             # hazard: a file half written or gone must cost neither requests nor the list
             log.warning("the configuration can't be read and stays as it is: %r", error)
 
 
-async def serve(settings: config.Config, stop: asyncio.Event, reload: asyncio.Event) -> None:
+async def serve(settings: config.Config, stop: asyncio.Event, reload: asyncio.Event,
+                parts: Parts = PLATFORM) -> None:
     """Serve until told to stop, then answer what comes and what is open."""
     loop = asyncio.get_running_loop()
     pool = Pool(settings.idle_us, settings.settings.connect_timeout_us, most=settings.sockets * 3 // 8)
     host = Host(settings.settings, settings.seed, pool)
-    directory = Directory(settings.zones, settings.kinds)
-    discovery = Discovery(settings.discovery, directory, host.list_changed,
-                          pushed=not settings.settings.list_on_request)
-    host.subscribe = discovery.subscribe
-    if settings.known:
-        discovery.cached(settings.known)
+    source = parts.source(settings, host)
+    host.subscribe = source.subscribe
+    source.recall()
     host.start()
-    discovery.start()
-    # the rest is for discovery, the listener, the log and what is on its way to be closed
-    server = Server(host, settings.settings, most_clients=settings.sockets // 2)
-    following = loop.create_task(follow(settings.path, reload, discovery))
-    server.listen(settings.listen)
+    source.start()
+    fronts = [make(settings, host) for make in parts.fronts]
+    following = loop.create_task(follow(settings.path, reload, source))
+    for front in fronts:
+        front.listen()
     await stop.wait()
     following.cancel()
     started = loop.time()
-    server.stop_idle()
+    for front in fronts:
+        front.stop_idle()
     await asyncio.sleep(STILL_COMING_S)
-    server.stop_listening()
-    server.stop_idle()
-    while server.count() and loop.time() < started + LONGEST_STOP_S:
+    for front in fronts:
+        front.stop_listening()
+        front.stop_idle()
+    while sum(front.count() for front in fronts) and loop.time() < started + LONGEST_STOP_S:
         await asyncio.sleep(0.01)
-        server.stop_idle()
+        for front in fronts:
+            front.stop_idle()
 
 
-async def run(settings: config.Config) -> None:
+async def run(settings: config.Config, parts: Parts = PLATFORM) -> None:
     """Serve until SIGTERM; SIGHUP brings a new configuration."""
     stop, reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     # hazard: by default either signal ends the process and loses what is open; so before the first client
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    await serve(settings, stop, reload)
+    await serve(settings, stop, reload, parts)
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGHUP})  # the loop's end frees them
 
 
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -13,7 +13,7 @@
 import httptools
 
 from glenkeel.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
-from plovertrail.config import parse_address
+from plovertrail.config import Config, parse_address
 from plovertrail.host import clock_us
 
 log = logging.getLogger(__name__)
@@ -136,12 +136,14 @@
     """Holds the watch. Where the list must be asked for the module does so, and is told how each call fails;
     where changes are pushed it never asks, and the watch is how they are pushed: it is always there."""
 
-    def __init__(self, address: Address, directory: Directory, listener: Listener, pushed: bool) -> None:
+    def __init__(self, address: Address, directory: Directory, listener: Listener, pushed: bool,
+                 known: Any = None) -> None:
         self.loop = asyncio.get_running_loop()
         self.address = address
         self.directory = directory
         self.listener = listener
         self.pushed = pushed
+        self.known = known
         self.version = 0
         self.active = False  # the module wants to be told, also while it waits to ask again
         self.watch: Watch | None = None
@@ -149,10 +151,12 @@
         self.heard_at = 0.0
         self.timer: asyncio.TimerHandle | None = None
 
-    def cached(self, lines: Any) -> None:
+    def recall(self) -> None:
         """The list as the sidecar last had it."""
+        if not self.known:
+            return
         try:
-            event, addresses = self.directory.read(lines, ListKind.CACHED)
+            event, addresses = self.directory.read(self.known, ListKind.CACHED)
         except Exception as error:
             # hazard: an old list that can't be read would keep the sidecar from ever asking for a new one
             log.warning("the known list can't be read: %r", error)
@@ -175,6 +179,9 @@
             self.timer = self.loop.call_later(SILENCE_S, self.check)
             self.dial = self.loop.create_task(self.connect(self.watch))
 
+    def reload(self, config: Config) -> None:
+        self.move(config.discovery)
+
     def move(self, address: Address) -> None:
         """Discovery has another address: watch there at once."""
         if address == self.address:
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -120,6 +120,27 @@
     over: bool = False  # it has had its final answer, or the client has gone
 
 
+@dataclass(slots=True)
+class _Unserved:
+    """The log's line on a request that was not served; rendered only if it is written, as in an overload nearly
+    none is."""
+
+    request: Request
+    verdict: Verdict
+    took_us: int
+
+    @property
+    def ident(self) -> str:
+        return self.request.call.ident.decode()
+
+    def __str__(self) -> str:
+        call = self.request.call
+        tries = ", ".join(f"upstream {a.upstream} {a.outcome.value if a.outcome else 'out'} sent at "
+                          f"{(a.sent_us - call.arrived_us) // 1000} ms" for a in self.request.attempts)
+        return (f"request {self.ident} {self.verdict.value} after {self.took_us // 1000} of "
+                f"{call.deadline_us // 1000} ms: {tries or 'not sent'}")
+
+
 class Host:
     """One `Balancer`, its clock and timers, and the requests and attempts that are live."""
 
@@ -252,12 +273,8 @@
 
     def _log_unserved(self, request: Request, answer: Answer) -> None:
         """What its client would ask about, by the id that the client knows."""
-        now_us = clock_us()
-        tries = ", ".join(f"upstream {a.upstream} {a.outcome.value if a.outcome else 'out'} sent at "
-                          f"{(a.sent_us - request.call.arrived_us) // 1000} ms" for a in request.attempts)
-        took_ms = (now_us - request.call.arrived_us) // 1000
-        log.info("request %s %s after %d of %d ms: %s", request.call.ident.decode(), answer.verdict.value,
-                 took_ms, request.call.deadline_us // 1000, tries or "not sent")
+        line = _Unserved(request, answer.verdict, clock_us() - request.call.arrived_us)
+        log.info("%s", line, extra={"request": line.ident, "verdict": answer.verdict.value})
 
     def _finish(self, request: Request) -> None:
         """Nothing is owed any more, and what has not been written yet is not sent."""
--- /dev/null
+++ b/plovertrail/logs.py
@@ -0,0 +1,25 @@
+"""The limit on the log's lines."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+LINES_A_SECOND = 5
+
+
+class RateLimit(logging.Filter):
+    """Lets a few lines a second through: the log may be a pipe, and a full one would hold up everything."""
+
+    def __init__(self, lines_a_second: int = LINES_A_SECOND) -> None:
+        super().__init__()
+        self.lines_a_second = lines_a_second
+        self.second = 0
+        self.lines = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second, self.lines = second, 0
+        self.lines += 1
+        return self.lines <= self.lines_a_second
--- /dev/null
+++ b/plovertrail/parts.py
@@ -0,0 +1,70 @@
+"""What a sidecar is put together from: a source of the upstream list, and fronts that take requests.
+
+Both are named by what they must do, so that others can stand beside the platform's own without a change here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from plovertrail.config import Config
+from plovertrail.discovery import Directory, Discovery
+from plovertrail.host import Host
+from plovertrail.server import Server
+
+
+class Source(Protocol):
+    """Follows the upstream list and tells the host of it, by `Host.list_changed`."""
+
+    def recall(self) -> None:
+        """Tell the host of the list as the sidecar last had it, if it had one."""
+
+    def start(self) -> None:
+        """Follow the list from now on."""
+
+    def subscribe(self, active: bool) -> None:
+        """The module asks for changes, or wants none any more."""
+
+    def reload(self, config: Config) -> None:
+        """There is a new configuration: of what it says, take what concerns this source."""
+
+
+class Front(Protocol):
+    """Takes requests, hands them to the host by `Host.arrived`, and writes their answers."""
+
+    def listen(self) -> None:
+        """Take connections from now on."""
+
+    def stop_idle(self) -> None:
+        """Close what carries no request; what does, closes with its answer."""
+
+    def stop_listening(self) -> None:
+        """Take no more connections."""
+
+    def count(self) -> int:
+        """How many connections are open."""
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """How to make the source and the fronts of one sidecar; each front shares the one host."""
+
+    source: Callable[[Config, Host], Source]
+    fronts: Sequence[Callable[[Config, Host], Front]]
+
+
+def discovery_source(config: Config, host: Host) -> Source:
+    """The platform's discovery."""
+    return Discovery(config.discovery, Directory(config.zones, config.kinds), host.list_changed,
+                     pushed=not config.settings.list_on_request, known=config.known)
+
+
+def http_front(config: Config, host: Host) -> Front:
+    """The application's HTTP/1.1, as the platform's protocol has it."""
+    # the rest of the descriptors is for discovery, the listener, the log and what is on its way to be closed
+    return Server(host, config.settings, config.listen, most_clients=config.sockets // 2)
+
+
+PLATFORM = Parts(discovery_source, (http_front,))
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -337,9 +337,10 @@
 class Server:
     """All connections of the application."""
 
-    def __init__(self, host: Host, settings: Settings, most_clients: int) -> None:
+    def __init__(self, host: Host, settings: Settings, address: tuple[str, int], most_clients: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.host = host
+        self.address = address
         self.catalogue = Catalogue(settings)
         self.seen = SeenIds(max(kind.deadline_us for kind in settings.classes) / 1e6)
         self.most_clients = most_clients
@@ -360,8 +361,8 @@
         """Whether so many connections are open that new ones had better not stay."""
         return self.count() > self.most_clients // 2
 
-    def listen(self, address: tuple[str, int]) -> None:
-        self.sock = socket.create_server(address, backlog=1024)
+    def listen(self) -> None:
+        self.sock = socket.create_server(self.address, backlog=1024)
         self.sock.setblocking(False)
         self.loop.add_reader(self.sock, self.accept)
         self.sweep()
