--- /dev/null
+++ b/ryepier/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What each command does; `ryepier.cli` puts them together."""
--- /dev/null
+++ b/ryepier/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Files that people write: read, checked as a whole, and complained about by key and line."""
--- /dev/null
+++ b/ryepier/emulator/records.py
@@ -0,0 +1,131 @@
+"""What the emulator's processes saw, each from its own side; the judge and the reports read nothing else.
+
+Times are microseconds from the run's beginning, on the one monotonic clock of the machine; -1 stands for never.
+"""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+NEVER = -1
+
+Ending = Literal["served", "refused", "failed", "timeout", "broken", "unreachable", "left"]
+AttemptEnding = Literal["answered", "closed", "reset", "open"]
+
+
+class Try(msgspec.Struct, array_like=True):
+    """One request as a client sent it. `first` numbers the first try that it belongs to."""
+
+    first: int
+    number: int  # 0 = the first try, 1 = its first retry, ...
+    ident: str
+    key: str
+    request_class: int
+    tenant: int
+    sidecar: int
+    work_us: int
+    planned_us: int  # when it was meant to be sent
+    sent_us: int
+    deadline_us: int  # how long the client waits, from sent_us
+    ended_us: int  # the answer's last byte, or when the client stopped waiting
+    ending: Ending
+    status: int = 0  # of the answer; 0 = none
+    retry_after_us: int = 0
+    answer_for: str = ""  # the request that the served body says it is for
+    answer_by: str = ""  # and the converter that it says made it
+    extra_bytes: int = 0  # that came after its answer without a further request
+
+
+class Attempt(msgspec.Struct, array_like=True):
+    """One request as a converter received it, whole."""
+
+    ident: str
+    key: str
+    uid: str
+    pod: int
+    first_us: int  # its first byte
+    last_us: int  # its last byte
+    ended_us: int = NEVER  # answered whole, or the connection ended
+    ending: AttemptEnding = "open"
+    status: int = 0
+    not_run: bool = False
+    run_us: int = NEVER  # its execution began
+    run_ended_us: int = NEVER  # and was complete
+    work_us: int = 0
+
+
+class Told(msgspec.Struct, array_like=True):
+    """A state of a converter, written to a sidecar's watch."""
+
+    sidecar: int
+    uid: str
+    state: str
+    at_us: int
+
+
+class Life(msgspec.Struct, array_like=True):
+    """One process life of a sidecar, and what it used of the machine."""
+
+    sidecar: int
+    begun_us: int  # its process was started
+    up_us: int  # it answered /up with 200 first
+    ended_us: int = NEVER  # it was killed or stopped
+    killed: bool = False
+    crashed: bool = False  # it ended by itself, or badly
+    samples: list[tuple[int, int, int]] = []  # (at_us, CPU microseconds so far, resident KiB)
+
+
+class Happening(msgspec.Struct, array_like=True):
+    """Something that was done to the world."""
+
+    at_us: int
+    text: str
+
+
+class Lateness(msgspec.Struct, array_like=True):
+    """How late one process of the emulator did what it had planned, in microseconds."""
+
+    role: str
+    steps: int
+    median_us: int
+    p999_us: int
+    most_us: int
+
+
+class RoleRecords(msgspec.Struct):
+    """All that one process saw."""
+
+    role: str
+    tries: list[Try] = []
+    attempts: list[Attempt] = []
+    told: list[Told] = []
+    happenings: list[Happening] = []
+    fallen: list[tuple[int, str]] = []  # (when, uid): converters that were pushed over
+    lateness: Lateness | None = None
+
+
+class History(msgspec.Struct):
+    """A whole run, from all sides."""
+
+    tries: list[Try]
+    attempts: list[Attempt]
+    told: list[Told]
+    lives: list[Life]
+    happenings: list[Happening]
+    fallen: list[tuple[int, str]]
+    lateness: list[Lateness]
+
+
+def join(parts: list[RoleRecords], lives: list[Life], happenings: list[Happening]) -> History:
+    """The run from the records of its processes, each kind in the order of time."""
+    return History(
+        tries=sorted((t for part in parts for t in part.tries), key=lambda t: t.sent_us),
+        attempts=sorted((a for part in parts for a in part.attempts), key=lambda a: a.last_us),
+        told=sorted((t for part in parts for t in part.told), key=lambda t: t.at_us),
+        lives=lives,
+        happenings=sorted([h for part in parts for h in part.happenings] + happenings, key=lambda h: h.at_us),
+        fallen=sorted(f for part in parts for f in part.fallen),
+        lateness=[part.lateness for part in parts if part.lateness is not None],
+    )
--- /dev/null
+++ b/ryepier/emulator/rig.py
@@ -0,0 +1,322 @@
+"""Plays a world: starts the emulator's processes and the sidecars, lets the run begin, and gathers what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ryepier.emulator import discovery, timeline
+from ryepier.emulator.process import CONVERTER_PORT, Clock, Plan, monotonic_us
+from ryepier.emulator.records import Happening, History, Life, RoleRecords, join
+from ryepier.emulator.timeline import Timeline, Verb, Who
+from ryepier.emulator.world import World
+
+SIDECAR = (sys.executable, "-B", "-m", "plovertrail")
+FIRST_NETWORK, LAST_NETWORK = 16, 250  # of 127.network.x.y; the lower ones are left to others
+UP_WITHIN_S = 20.0
+BEGIN_AFTER_S = 0.5  # all processes hear of the beginning well before it
+SAMPLE_S = 0.5
+STOP_WITHIN_S = 6.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_KIB = os.sysconf("SC_PAGE_SIZE") // 1024
+
+
+class RigError(Exception):
+    """The emulator itself could not do its part; says nothing about the sidecar."""
+
+
+def sidecar_settings(world: World, index: int) -> dict[str, Any]:
+    """The platform's settings for one sidecar, as its configuration holds them."""
+    def whole_us(milliseconds: float) -> int:
+        return round(milliseconds * 1000)
+
+    classes = [{
+        "name": kind.name, "aim": whole_us(kind.aim_ms), "deadline": whole_us(kind.deadline_ms), "worth": kind.worth,
+        "late-worth": kind.late_worth, "effect": kind.effect, "group": kind.group,
+        "memory-span": whole_us(kind.memory_ms), "stream": False} for kind in world.classes]
+    accounts = [{"name": tenant.name, "share": tenant.share,
+                 "allowance-per-s": tenant.share * world.clients.rate_per_s} for tenant in world.tenants]
+    zones = sorted({group.zone for group in world.converters})
+    sidecars, warmth = world.sidecars, world.warmth
+    return {
+        "accounts": accounts, "areas": zones, "fees": {"cross-zone": 0.0}, "granularity": 1000,
+        "instances": sidecars.count, "kinds": sorted({group.model for group in world.converters}), "locality": 0,
+        "over-share-worth": 0.2, "registry-mode": "on_request" if sidecars.list_on_request else "pushed",
+        "report": {"how": "answers", "names": world.reports.names}, "request-classes": classes, "self-index": index,
+        "value-by": "request", "weights": "nominal",
+        "bounds": {"cancel": True, "conn-idle": round(min(g.idle_close_s for g in world.converters) * 1e6),
+                   "dial-timeout": whole_us(sidecars.dial_timeout_ms),
+                   "max-retry-after": whole_us(sidecars.max_retry_after_ms), "most-tries": sidecars.max_attempts,
+                   "probes": True, "retry-after": sidecars.max_retry_after_ms > 0, "second-copies": False},
+        "invariants": {"ask-within": 2_500_000, "cold-share": warmth.cold_share,
+                       "drain-grace": whole_us(sidecars.drain_grace_ms), "fall": round(warmth.fall_s * 1e6),
+                       "overload-factor": warmth.overload_factor, "warm-up": round(warmth.warm_up_s * 1e6)},
+    }
+
+
+def find_network() -> int:
+    """A loopback network that no other run on this machine uses."""
+    count = LAST_NETWORK - FIRST_NETWORK + 1
+    for offset in range(count):
+        network = FIRST_NETWORK + (os.getpid() + offset) % count
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((f"127.{network}.0.1", CONVERTER_PORT))
+                return network
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise RigError(f"no loopback address can be had: {error}") from error
+    raise RigError("every loopback network is in use")
+
+
+@dataclass(slots=True)
+class Role:
+    """One process of the emulator."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    records: Path
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """One sidecar under test, over its lives."""
+
+    index: int
+    config: Path
+    log: Path
+    process: subprocess.Popen[bytes] | None = None
+    lives: list[Life] = field(default_factory=list)
+
+
+Watcher = Callable[[float, Counter[str]], None]  # seconds of the run, and the clients' counts so far
+
+
+@dataclass(frozen=True, slots=True)
+class Cast:
+    """Who takes part in a run; by default all that the world names."""
+
+    sidecar_command: Sequence[str] = SIDECAR  # empty: their configurations are written, and others start them
+    clients: bool = True
+    stand_ins: bool = True  # converters and discovery
+    targets: Sequence[tuple[str, int]] = ()  # whom the clients load, in place of the world's sidecars
+
+
+class Rig:
+    """One run."""
+
+    def __init__(self, world: World, seed: int, folder: Path, cast: Cast | None = None,
+                 watcher: Watcher | None = None) -> None:
+        self.world = world
+        self.folder = folder
+        self.cast = cast or Cast()
+        self.plan = Plan(world, seed, find_network(), role="rig", targets=list(self.cast.targets))
+        self.timeline: Timeline = timeline.build(world, seed)
+        self.watcher = watcher
+        self.clock = Clock()
+        self.roles: list[Role] = []
+        self.sidecars: list[Sidecar] = []
+        self.happenings: list[Happening] = []
+        self.counts: dict[str, Counter[str]] = {}
+
+    async def play(self) -> History:
+        """The whole run; whatever comes, no process is left behind. Raises RigError."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        try:
+            await self.start_roles()
+            self.write_configurations()
+            if self.cast.sidecar_command:
+                for sidecar in self.sidecars:
+                    self.start_sidecar(sidecar)
+                await asyncio.gather(*(self.until_up(sidecar) for sidecar in self.sidecars))
+            self.begin()
+            async with asyncio.TaskGroup() as group:
+                for role in self.roles:
+                    group.create_task(self.read(role))
+                sampling = group.create_task(self.sample())
+                group.create_task(self.steps())
+                await asyncio.gather(*(role.process.wait() for role in self.roles))
+                sampling.cancel()
+            await self.stop_sidecars()
+        finally:
+            self.kill_all()
+        return self.history()
+
+    # Starting
+
+    async def start_roles(self) -> None:
+        rig = self.world.rig
+        names = []
+        if self.cast.stand_ins:
+            names += [("discovery", 0)] if self.world.sidecars.count else []
+            names += [("converters", i) for i in range(rig.converter_processes)]
+        if self.cast.clients:
+            names += [("clients", i) for i in range(rig.client_processes)]
+        for role, index in names:
+            plan = msgspec.structs.replace(self.plan, role=role, index=index)
+            path = self.folder / f"{role}-{index}.json"
+            path.write_bytes(msgspec.json.encode(plan))
+            records = self.folder / f"{role}-{index}.records"
+            records.unlink(missing_ok=True)  # of an earlier run
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-B", "-m", "ryepier.emulator.role", str(path), str(records),
+                stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+            self.roles.append(Role(f"{role} {index}", process, records))
+        for started in self.roles:
+            assert started.process.stdout is not None
+            line = await started.process.stdout.readline()
+            if not line:
+                raise RigError(f"the emulator's {started.name} did not come up")
+
+    def write_configurations(self) -> None:
+        if not self.cast.stand_ins:
+            return
+        listing = discovery.first_list(self.plan, self.timeline)
+        for index in range(self.world.sidecars.count):
+            config = self.folder / f"sidecar-{index}.json"
+            listen, agent = self.plan.sidecar_address(index), self.plan.discovery_address(index)
+            config.write_text(json.dumps({
+                "name": f"n{index}", "listen": f"{listen[0]}:{listen[1]}", "discovery": f"{agent[0]}:{agent[1]}",
+                "seed": f"{self.plan.seed * 1000 + index:x}", "known": listing,
+                "limits": {"cores": 1.0, "memory_mb": self.world.sidecars.memory_mb,
+                           "sockets": self.world.sidecars.sockets},
+                "settings": sidecar_settings(self.world, index)}))
+            self.sidecars.append(Sidecar(index, config, self.folder / f"sidecar-{index}.log"))
+
+    def start_sidecar(self, sidecar: Sidecar) -> None:
+        with open(sidecar.log, "ab") as log:
+            environment = os.environ | {"BALANCER_CONFIG": str(sidecar.config)}
+            sidecar.process = subprocess.Popen(self.cast.sidecar_command, env=environment, stdout=log, stderr=log)
+        sidecar.lives.append(Life(sidecar.index, monotonic_us(), -1))
+
+    async def until_up(self, sidecar: Sidecar) -> None:
+        """Until it answers; its lives' times are set against the run's beginning later."""
+        ends = monotonic_us() + int(UP_WITHIN_S * 1e6)
+        while monotonic_us() < ends:
+            if sidecar.process is None or sidecar.process.poll() is not None:
+                raise RigError(f"sidecar {sidecar.index} ended at its start: see {sidecar.log}")
+            try:
+                reader, writer = await asyncio.open_connection(*self.plan.sidecar_address(sidecar.index))
+                writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                if b" 200 " in line:
+                    sidecar.lives[-1].up_us = monotonic_us()
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.01)
+        raise RigError(f"sidecar {sidecar.index} was not up within {UP_WITHIN_S:.0f} s: see {sidecar.log}")
+
+    def begin(self) -> None:
+        self.clock.zero_us = monotonic_us() + int(BEGIN_AFTER_S * 1e6)
+        for role in self.roles:
+            assert role.process.stdin is not None
+            role.process.stdin.write(b"%d\n" % self.clock.zero_us)
+
+    # While it runs
+
+    async def read(self, role: Role) -> None:
+        assert role.process.stdout is not None
+        while line := await role.process.stdout.readline():
+            self.counts[role.name] = Counter(msgspec.json.decode(line, type=dict[str, int]))
+            if self.watcher is not None:
+                self.watcher(self.clock.now_us() / 1e6, sum(self.counts.values(), Counter()))
+
+    async def sample(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            for sidecar in self.sidecars:
+                self.take_sample(sidecar)
+
+    def take_sample(self, sidecar: Sidecar) -> None:
+        process = sidecar.process
+        if process is None:
+            return
+        if process.poll() is not None:
+            life = sidecar.lives[-1]
+            if not life.killed and not life.crashed:
+                life.crashed, life.ended_us = True, monotonic_us()
+            return
+        try:
+            fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+        except OSError:
+            return
+        cpu_us = (int(fields[11]) + int(fields[12])) * 1_000_000 // TICKS_PER_S
+        sidecar.lives[-1].samples.append((monotonic_us(), cpu_us, int(fields[21]) * PAGE_KIB))
+
+    async def steps(self) -> None:
+        """Those that are done to sidecars."""
+        if not self.cast.sidecar_command:
+            return
+        for step in [step for step in self.timeline.steps if step.who is Who.SIDECAR]:
+            await asyncio.sleep(max(0.0, (step.at_us - self.clock.now_us()) / 1e6))
+            sidecar = self.sidecars[step.index]
+            self.happenings.append(Happening(self.clock.now_us(), f"sidecar {step.index}: {step.verb.value}"))
+            if step.verb is Verb.KILL and sidecar.process is not None:
+                self.take_sample(sidecar)
+                sidecar.lives[-1].killed, sidecar.lives[-1].ended_us = True, monotonic_us()
+                sidecar.process.kill()
+                sidecar.process.wait()
+            elif step.verb is Verb.RESTART:
+                self.start_sidecar(sidecar)
+                await self.until_up(sidecar)
+
+    # The end
+
+    async def stop_sidecars(self) -> None:
+        for sidecar in self.sidecars:
+            self.take_sample(sidecar)
+            if sidecar.process is not None and sidecar.process.poll() is None:
+                sidecar.process.send_signal(signal.SIGTERM)
+        ends = monotonic_us() + int(STOP_WITHIN_S * 1e6)
+        for sidecar in self.sidecars:
+            if sidecar.process is None or sidecar.lives[-1].crashed:
+                continue
+            while sidecar.process.poll() is None and monotonic_us() < ends:
+                await asyncio.sleep(0.02)
+            life = sidecar.lives[-1]
+            life.ended_us, life.crashed = monotonic_us(), sidecar.process.poll() != 0
+
+    def kill_all(self) -> None:
+        for sidecar in self.sidecars:
+            if sidecar.process is not None and sidecar.process.poll() is None:
+                sidecar.process.kill()
+                sidecar.process.wait()
+        for role in self.roles:
+            if role.process.returncode is None:
+                role.process.kill()
+
+    def history(self) -> History:
+        parts = []
+        for role in self.roles:
+            if role.process.returncode != 0 or not role.records.exists():
+                raise RigError(f"the emulator's {role.name} ended with {role.process.returncode}")
+            parts.append(msgspec.msgpack.decode(role.records.read_bytes(), type=RoleRecords))
+        lives = [self.on_the_runs_clock(life) for sidecar in self.sidecars for life in sidecar.lives]
+        return join(parts, lives, self.happenings)
+
+    def on_the_runs_clock(self, life: Life) -> Life:
+        zero_us = self.clock.zero_us
+        return msgspec.structs.replace(
+            life, begun_us=life.begun_us - zero_us, up_us=life.up_us - zero_us, ended_us=life.ended_us - zero_us,
+            samples=[(at_us - zero_us, cpu_us, kib) for at_us, cpu_us, kib in life.samples])
+
+
+def play(world: World, seed: int, folder: Path, cast: Cast | None = None, watcher: Watcher | None = None) -> History:
+    """Play a world once and return what all sides saw. Raises RigError where the emulator failed."""
+    return asyncio.run(Rig(world, seed, folder, cast, watcher).play())
--- /dev/null
+++ b/ryepier/emulator/timeline.py
@@ -0,0 +1,150 @@
+"""What happens when in a world: the faults as steps, each with its end, and who is told of what.
+
+Pure: follows from the world and the seed alone, so each process works it out for itself and does its own part.
+Times are microseconds from the run's beginning; `Step`s are in the order of their times.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from ryepier.emulator import draws
+from ryepier.emulator.world import Fault, World
+
+
+class Verb(enum.Enum):
+    """What is done to one converter, sidecar or discovery agent."""
+
+    BEGIN = "begin"  # a converter: a fault sets in
+    END = "end"  # and is over
+    DRAIN = "drain"  # a converter: finish the work and take nothing new
+    STOP = "stop"  # a converter's process ends
+    START = "start"  # a converter's process comes up, cold
+    KILL = "kill"  # a sidecar: SIGKILL
+    RESTART = "restart"  # a sidecar: it is started again
+    TELL = "tell"  # an agent writes a change to its sidecar
+    SILENCE = "silence"  # an agent says nothing, not even heartbeats
+    SPEAK = "speak"
+    DOWN = "down"  # an agent refuses connections and ends the open ones
+    UP = "up"
+    BREAK = "break"  # an agent ends the open watches
+
+
+class Who(enum.Enum):
+    CONVERTER = "converter"
+    SIDECAR = "sidecar"
+    DISCOVERY = "discovery"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One thing that is done, to the `index`-th of its kind."""
+
+    at_us: int
+    who: Who
+    index: int
+    verb: Verb
+    fault: str = ""  # the kind of fault that brings it about
+    factor: float = 1.0
+    share: float = 1.0
+    uid: str = ""
+    state: str = ""  # TELL: what the list says of the uid from now on
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """One process life of a converter: a uid of its own, at an address of its own."""
+
+    index: int  # among all instances of the run
+    uid: str
+    machine: draws.Machine
+    start_us: int | None  # None: it ran, warm, before the run began
+
+
+@dataclass(frozen=True, slots=True)
+class Timeline:
+    instances: list[Instance]
+    steps: list[Step]
+
+
+CONVERTER_FAULTS = ("hang", "refuse", "reset-before", "reset-after", "half-answer", "slow", "cut")
+
+
+def us(seconds: float) -> int:
+    return round(seconds * 1e6)
+
+
+class _Builder:
+    def __init__(self, world: World, seed: int) -> None:
+        self.world = world
+        self.seed = seed
+        self.random = draws.stream(seed, "faults")
+        self.notices = draws.stream(seed, "notices")
+        self.steps: list[Step] = []
+        self.instances = [Instance(m.index, f"c-{m.index:04x}", m, None) for m in draws.machines(world, seed)]
+
+    def step(self, at_us: int, who: Who, index: int, verb: Verb, fault: Fault, uid: str = "") -> None:
+        self.steps.append(Step(at_us, who, index, verb, fault.kind, fault.factor, fault.share, uid))
+
+    def build(self) -> Timeline:
+        for fault in self.world.faults:
+            if fault.kind in CONVERTER_FAULTS:
+                self.strike_converters(fault)
+            elif fault.kind == "release":
+                self.release(fault)
+            elif fault.kind == "sidecar-kill":
+                self.kill_sidecars(fault)
+            elif fault.kind in ("discovery-down", "discovery-silent", "watch-break"):
+                self.strike_discovery(fault)
+            # surges and tails are in the arrivals as drawn
+        self.steps.sort(key=lambda step: step.at_us)
+        return Timeline(self.instances, self.steps)
+
+    def strike_converters(self, fault: Fault) -> None:
+        for index in draws.struck(self.world.converter_count, fault, self.random):
+            self.step(us(fault.at_s), Who.CONVERTER, index, Verb.BEGIN, fault)
+            self.step(us(fault.at_s + fault.for_s), Who.CONVERTER, index, Verb.END, fault)
+
+    def release(self, fault: Fault) -> None:
+        """A rolling one: each converter drains, ends, and is replaced by a cold one under a new uid."""
+        chosen = draws.struck(self.world.converter_count, fault, self.random)
+        apart_us = us(fault.for_s) // max(1, len(chosen))
+        for turn, index in enumerate(chosen):
+            old = self.instances[index]
+            at_us = us(fault.at_s) + turn * apart_us
+            stop_us = at_us + us(fault.drain_s)
+            start_us = stop_us + us(fault.down_s)
+            new = Instance(len(self.instances), f"c-{len(self.instances):04x}", old.machine, start_us)
+            self.instances.append(new)
+            self.step(at_us, Who.CONVERTER, old.index, Verb.DRAIN, fault, old.uid)
+            self.step(stop_us, Who.CONVERTER, old.index, Verb.STOP, fault, old.uid)
+            self.step(start_us, Who.CONVERTER, new.index, Verb.START, fault, new.uid)
+            self.tell(fault, old, "leaving", at_us)
+            self.tell(fault, old, "left", stop_us)
+            self.tell(fault, new, "active", start_us)
+
+    def tell(self, fault: Fault, instance: Instance, state: str, since_us: int) -> None:
+        """Each sidecar's agent hears of it at a time of its own."""
+        for sidecar in range(self.world.sidecars.count):
+            late_us = int(self.notices.uniform(*self.world.discovery.late_ms) * 1000)
+            self.steps.append(Step(since_us + late_us, Who.DISCOVERY, sidecar, Verb.TELL, fault.kind,
+                                   uid=instance.uid, state=state))
+
+    def kill_sidecars(self, fault: Fault) -> None:
+        for index in draws.struck(self.world.sidecars.count, fault, self.random):
+            self.step(us(fault.at_s), Who.SIDECAR, index, Verb.KILL, fault)
+            self.step(us(fault.at_s + fault.down_s), Who.SIDECAR, index, Verb.RESTART, fault)
+
+    def strike_discovery(self, fault: Fault) -> None:
+        verbs = {"discovery-down": (Verb.DOWN, Verb.UP), "discovery-silent": (Verb.SILENCE, Verb.SPEAK),
+                 "watch-break": (Verb.BREAK, None)}[fault.kind]
+        for index in draws.struck(max(1, self.world.sidecars.count), fault, self.random):
+            self.step(us(fault.at_s), Who.DISCOVERY, index, verbs[0], fault)
+            if verbs[1] is not None:
+                self.step(us(fault.at_s + fault.for_s), Who.DISCOVERY, index, verbs[1], fault)
+
+
+def build(world: World, seed: int) -> Timeline:
+    """The whole run's instances and steps."""
+    return _Builder(world, seed).build()
--- /dev/null
+++ b/ryepier/emulator/world.py
@@ -0,0 +1,222 @@
+"""What a world file may say. Pure: text in, a checked `World` out.
+
+Times end in `_s` or `_ms`, shares run from 0 to 1, ranges are `[lowest, highest]` and drawn from evenly.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from ryepier.conf import check
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Range = tuple[NotNegative, NotNegative]
+
+MOST_ARRIVALS = 2_000_000  # first tries in a run: their columns and records have to fit the memory of one process
+
+
+def _ordered(name: str, values: tuple[float, float], above_zero: bool = False) -> None:
+    if values[0] > values[1]:
+        raise ValueError(f"{name}: expected [lowest, highest], got {list(values)}")
+    if above_zero and values[0] <= 0:
+        raise ValueError(f"{name}: expected values above 0, got {list(values)}")
+
+
+class Converters(msgspec.Struct, kw_only=True, frozen=True):
+    """A group of converters that are alike but for their drawn speed."""
+
+    count: Count
+    model: str = "m1"
+    zone: str = "a"
+    cores: Count = 3
+    speed: Range = (1.0, 1.0)  # work done by one core a second, in standard cores
+    waiting_room: Annotated[int, msgspec.Meta(ge=0)] = 24  # requests that may wait; further ones are turned away
+    connections: Count = 256  # that it holds; further ones are turned away
+    handshake_ms: NotNegative = 0.3  # work that a new connection costs, before its first request
+    pod_size: Count = 3  # converters that drop each other's repeats
+    idle_close_s: Positive = 5.0
+
+    def __post_init__(self) -> None:
+        _ordered("speed", self.speed, above_zero=True)
+
+
+class Warmth(msgspec.Struct, kw_only=True, frozen=True):
+    """How converters start: cold, and over when pushed."""
+
+    cold_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.12
+    warm_up_s: NotNegative = 5.5
+    overload_factor: Positive = 4.0
+    fall_s: Positive = 0.75
+
+
+class Reports(msgspec.Struct, kw_only=True, frozen=True):
+    """Load reports in answers, refreshed now and then."""
+
+    names: list[Literal["inflight", "queue", "util"]] = msgspec.field(default_factory=lambda: ["inflight", "queue"])
+    refresh_ms: Range = (15.0, 110.0)
+
+    def __post_init__(self) -> None:
+        _ordered("refresh_ms", self.refresh_ms, above_zero=True)
+
+
+class RequestClass(msgspec.Struct, kw_only=True, frozen=True):
+    """A class of requests; `share` of all first tries, before any skew."""
+
+    name: str
+    share: Share
+    work_ms: Range  # of a standard core
+    aim_ms: Positive
+    deadline_ms: Positive
+    worth: NotNegative = 1.0
+    late_worth: Share = 0.0
+    effect: Literal["idempotent", "deduplicated", "at_most_once"] = "idempotent"
+    group: Literal["all", "zone", "cell"] = "all"
+    memory_ms: NotNegative = 0.0
+
+    def __post_init__(self) -> None:
+        _ordered("work_ms", self.work_ms, above_zero=True)
+        if self.deadline_ms < self.aim_ms:
+            raise ValueError("deadline_ms: expected no less than aim_ms")
+        if self.effect == "deduplicated" and self.memory_ms == 0:
+            raise ValueError("memory_ms: expected above 0 where the effect is deduplicated")
+
+
+class Tenant(msgspec.Struct, kw_only=True, frozen=True):
+    """A customer, with its share of the traffic and of the service."""
+
+    name: str
+    share: Share
+
+
+class Clients(msgspec.Struct, kw_only=True, frozen=True):
+    """How clients behave. Arrivals are open-loop: drawn ahead, and never held back by an answer."""
+
+    rate_per_s: Positive  # first tries, over all sidecars
+    ramp_to_per_s: NotNegative = 0.0  # where the rate rises evenly to by the end; 0 = it does not
+    retries: Annotated[int, msgspec.Meta(ge=0, le=20)] = 2
+    backoff: Literal["none", "constant", "exponential"] = "exponential"
+    wait_ms: NotNegative = 50.0  # before the first retry
+    honours_retry_after: bool = True
+    marks_retries: bool = False
+    patience: Range = (0.5, 1.0)  # a try is given up after this part of the class's deadline
+    hint_error: Share = 0.1  # a cost hint is off by up to this share
+    hints: bool = True
+    closes_after: NotNegative = 0.0  # share of requests after which the client closes its connection
+    leaves: Share = 0.0  # share of tries whose client goes away in the middle
+
+    def __post_init__(self) -> None:
+        _ordered("patience", self.patience, above_zero=True)
+        if self.patience[1] > 1.0:
+            raise ValueError("patience: expected at most 1")
+
+
+class Sidecars(msgspec.Struct, kw_only=True, frozen=True):
+    """The sidecars under test, each a process of its own. With a count of 0 clients go to the converters directly."""
+
+    count: Annotated[int, msgspec.Meta(ge=0, le=200)]
+    skew: NotNegative = 0.0  # traffic of the i-th is 1 / i**skew of the first's
+    sockets: Annotated[int, msgspec.Meta(ge=64)] = 1024
+    memory_mb: Count = 192
+    list_on_request: bool = False
+    max_attempts: Annotated[int, msgspec.Meta(ge=1)] = 4
+    dial_timeout_ms: Positive = 62.0
+    max_retry_after_ms: NotNegative = 500.0
+    drain_grace_ms: Positive = 500.0
+
+
+class Discovery(msgspec.Struct, kw_only=True, frozen=True):
+    """When changes to the list are told."""
+
+    late_ms: Range = (100.0, 1500.0)  # after the fact, drawn for each sidecar and change
+    heartbeat_s: Positive = 2.0
+
+    def __post_init__(self) -> None:
+        _ordered("late_ms", self.late_ms)
+
+
+FaultKind = Literal[
+    "hang", "refuse", "reset-before", "reset-after", "half-answer", "slow", "cut", "release", "sidecar-kill",
+    "discovery-down", "discovery-silent", "watch-break", "surge", "tenant-surge", "hot-sidecar", "heavy-tail"]
+
+
+class Fault(msgspec.Struct, kw_only=True, frozen=True):
+    """Something that goes wrong at `at_s`, and is over `for_s` later."""
+
+    kind: FaultKind
+    at_s: NotNegative
+    for_s: NotNegative = 0.0
+    part: Annotated[float, msgspec.Meta(gt=0, le=1)] = 1.0  # of the converters, or of the sidecars; at least one
+    factor: Positive = 1.0  # the rate, or the work, is multiplied by it; a slow converter's speed is divided by it
+    share: Share = 1.0  # of the requests that it strikes
+    tenant: str = ""
+    request_class: str = ""
+    drain_s: NotNegative = 1.0  # release: from draining to the end
+    down_s: NotNegative = 0.5  # release: from the end to the replacement's start; sidecar-kill: till it starts again
+    index: Annotated[int, msgspec.Meta(ge=0)] | None = None  # the one that it strikes; by default drawn
+
+
+class Rig(msgspec.Struct, kw_only=True, frozen=True):
+    """The emulator's own processes and the bound on its lateness."""
+
+    converter_processes: Count = 2
+    client_processes: Count = 1
+    lateness_ms: Positive = 40.0  # a run in which one in a thousand of its steps was later than this is void
+
+
+class World(msgspec.Struct, kw_only=True, frozen=True):
+    """One world file."""
+
+    name: str
+    duration_s: Positive
+    converters: list[Converters]
+    classes: list[RequestClass]
+    clients: Clients
+    sidecars: Sidecars
+    tenants: list[Tenant] = msgspec.field(default_factory=lambda: [Tenant(name="one", share=1.0)])
+    warmth: Warmth = msgspec.field(default_factory=Warmth)
+    reports: Reports = msgspec.field(default_factory=Reports)
+    discovery: Discovery = msgspec.field(default_factory=Discovery)
+    faults: list[Fault] = msgspec.field(default_factory=list)
+    rig: Rig = msgspec.field(default_factory=Rig)
+
+    def __post_init__(self) -> None:
+        for what in (self.converters, self.classes, self.tenants):
+            if not what:
+                raise ValueError("expected at least one of converters, classes and tenants each")
+        for names in ([c.name for c in self.classes], [t.name for t in self.tenants]):
+            if len(set(names)) < len(names):
+                raise ValueError(f"expected names that differ, got {names}")
+        for shares, whose in (([c.share for c in self.classes], "classes"), ([t.share for t in self.tenants],
+                                                                             "tenants")):
+            if abs(sum(shares) - 1.0) > 0.01:
+                raise ValueError(f"the shares of {whose}: expected a sum of 1, got {sum(shares):.3f}")
+        most = max(self.clients.rate_per_s, self.clients.ramp_to_per_s) * self.duration_s
+        if most > MOST_ARRIVALS:
+            raise ValueError(f"expected at most {MOST_ARRIVALS} first tries, got {most:.0f}")
+        for number, fault in enumerate(self.faults):
+            self._check_fault(number, fault)
+
+    def _check_fault(self, number: int, fault: Fault) -> None:
+        where = f"faults[{number}] ({fault.kind})"
+        if fault.at_s >= self.duration_s:
+            raise ValueError(f"{where}: at_s is past the world's end")
+        if fault.kind == "tenant-surge" and fault.tenant not in {t.name for t in self.tenants}:
+            raise ValueError(f"{where}: unknown tenant {fault.tenant!r}")
+        if fault.kind == "heavy-tail" and fault.request_class not in {c.name for c in self.classes}:
+            raise ValueError(f"{where}: unknown request_class {fault.request_class!r}")
+        if fault.kind in ("sidecar-kill", "hot-sidecar") and self.sidecars.count == 0:
+            raise ValueError(f"{where}: the world has no sidecars")
+
+    @property
+    def converter_count(self) -> int:
+        return sum(group.count for group in self.converters)
+
+
+def parse(text: str) -> World:
+    """The world that a file's text describes; raises check.ConfigurationError with all its mistakes."""
+    return check.parse(text, World)
--- /dev/null
+++ b/ryepier/experiments/contract.py
@@ -0,0 +1,121 @@
+"""What an experiment is and what it leaves behind: claims with bounds, figures, and one result file."""
+
+from __future__ import annotations
+
+import operator
+import os
+import platform
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from importlib import metadata
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from ryepier.emulator import rig
+from ryepier.emulator.records import History
+from ryepier.emulator.world import World
+from ryepier.experiments import figures, judge, planted
+
+Scale = Literal["small", "full"]
+Operator = Literal["<=", ">=", "=="]
+OPERATORS: dict[str, Callable[[float, float], bool]] = {"<=": operator.le, ">=": operator.ge, "==": operator.eq}
+LIBRARIES = ("httptools", "numpy", "msgspec", "hdrhistogram")
+RESULT, HISTORY, WORLD, BREACHES = "result.json", "history.msgpack", "world.json", "breaches.json"
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """Something that is said of a run and may not hold."""
+
+    name: str
+    value: float
+    op: Operator
+    bound: float
+
+    @property
+    def holds(self) -> bool:
+        return OPERATORS[self.op](self.value, self.bound)
+
+    def __str__(self) -> str:
+        return f"{'holds' if self.holds else 'FAILS'}  {self.name}: {self.value:.4g} {self.op} {self.bound:g}"
+
+
+class Result(msgspec.Struct):
+    """The content of result.json."""
+
+    name: str
+    seed: int
+    scale: Scale
+    claims: list[dict[str, object]]
+    figures: dict[str, float]
+    versions: dict[str, str]
+    plant: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A run as the claims see it."""
+
+    world: World
+    seed: int
+    history: History
+    orders: list[figures.Order]
+    breaches: list[judge.Breach]
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    """A named world and what is claimed of it."""
+
+    name: str
+    about: str
+    world: Callable[[Scale], World]
+    claims: Callable[[Run], list[Claim]]
+    plants: Sequence[str]  # mistakes that make at least one claim fail
+    more_figures: Callable[[Run], Mapping[str, float]] = lambda run: {}
+    rules: Sequence[str] = tuple(judge.RULES)  # those that must hold in it
+    cores: int = 0  # run on so many only; 0 = all there are
+
+
+def versions() -> dict[str, str]:
+    found = {"python": platform.python_version(), "cores": str(os.cpu_count())}
+    return found | {name: metadata.version(name) for name in LIBRARIES}
+
+
+def on_time(run: Run) -> Claim:
+    """The emulator kept up; otherwise the run is void, as it would have measured the rig."""
+    worst = max((late.p999_us for late in run.history.lateness), default=0) / 1000
+    return Claim("the emulator's lateness (99.9%, ms)", worst, "<=", run.world.rig.lateness_ms)
+
+
+def perform(experiment: Experiment, seed: int, scale: Scale, folder: Path, plant: str = "",
+            watcher: rig.Watcher | None = None) -> list[Claim]:
+    """Play it, judge it, and write all that came out into `folder`. Raises rig.RigError where the rig failed."""
+    world = experiment.world(scale)
+    cast = rig.Cast(sidecar_command=planted.command(plant) if plant else rig.SIDECAR)
+    had = os.sched_getaffinity(0)
+    if experiment.cores:
+        os.sched_setaffinity(0, set(sorted(had)[:experiment.cores]))  # the run's processes inherit it
+    try:
+        history = rig.play(world, seed, folder, cast, watcher)
+    finally:
+        os.sched_setaffinity(0, had)
+    run = Run(world, seed, history, figures.orders(world, history.tries), judge.judge(world, history))
+    counts = Counter(breach.rule for breach in run.breaches)
+    claims = [on_time(run)]
+    claims += [Claim(f"rule {rule}: breaches", counts[rule], "==", 0) for rule in experiment.rules]
+    claims += experiment.claims(run)
+    result = Result(
+        experiment.name, seed, scale, [msgspec.to_builtins(claim) | {"holds": claim.holds} for claim in claims],
+        {**figures.summary(world, history, run.orders), **experiment.more_figures(run)}, versions(), plant)
+    save(folder, run, result)
+    return claims
+
+
+def save(folder: Path, run: Run, result: Result) -> None:
+    (folder / RESULT).write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=2))
+    (folder / HISTORY).write_bytes(msgspec.msgpack.encode(run.history))
+    (folder / WORLD).write_bytes(msgspec.json.encode(run.world))
+    (folder / BREACHES).write_bytes(msgspec.json.format(msgspec.json.encode(run.breaches), indent=1))
--- /dev/null
+++ b/ryepier/worlds/__init__.py
@@ -0,0 +1,1 @@
+"""World files that experiments and the demo play, one TOML file each."""
