--- a/ryepier/emulator/clients.py
+++ b/ryepier/emulator/clients.py
@@ -175,8 +175,10 @@
 
     async def dial(self) -> None:
         try:
-            await asyncio.get_running_loop().create_connection(lambda: Line(self.target, self), *self.target.address)
-        except OSError:
+            async with asyncio.timeout(self.item.deadline_us / 1e6):  # a client waits no longer for that than for all
+                await asyncio.get_running_loop().create_connection(
+                    lambda: Line(self.target, self), *self.target.address)
+        except OSError:  # TimeoutError is one
             self.end("unreachable")
 
     def send(self, line: Line) -> None:
@@ -282,7 +284,7 @@
     def patience_us(self, item: Try) -> int:
         """How long this client reads: past its time, so that late answers are seen, or shorter if it goes away."""
         if self.random.random() < self.world.clients.leaves:
-            return int(item.deadline_us * self.random.random())
+            return int(self.world.classes[item.request_class].aim_ms * 1000 * self.random.random())
         return item.deadline_us + SLACK_US
 
     def message(self, flight: Flight) -> bytes:
--- a/ryepier/emulator/process.py
+++ b/ryepier/emulator/process.py
@@ -73,11 +73,13 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.histogram = HdrHistogram(1, LONGEST_LATE_US, 3)
-        self.most_us = 0
+        self.most_by_second_us: list[int] = []
 
     def note(self, planned_us: int) -> None:
         late_us = max(1, self.clock.now_us() - planned_us)
-        self.most_us = max(self.most_us, late_us)
+        second = max(0, planned_us // 1_000_000)
+        self.most_by_second_us += [0] * (second + 1 - len(self.most_by_second_us))
+        self.most_by_second_us[second] = max(self.most_by_second_us[second], late_us)
         self.histogram.record_value(min(late_us, LONGEST_LATE_US))
 
     async def tick(self) -> None:
@@ -89,7 +91,8 @@
 
     def result(self, role: str) -> Lateness:
         at = self.histogram.get_value_at_percentile
-        return Lateness(role, int(self.histogram.get_total_count()), int(at(50)), int(at(99.9)), self.most_us)
+        return Lateness(role, int(self.histogram.get_total_count()), int(at(50)), int(at(99.9)),
+                        max(self.most_by_second_us, default=0), self.most_by_second_us)
 
 
 def say(message: dict[str, object]) -> None:
--- a/ryepier/emulator/records.py
+++ b/ryepier/emulator/records.py
@@ -92,6 +92,7 @@
     median_us: int
     p999_us: int
     most_us: int
+    most_by_second_us: list[int] = []
 
 
 class RoleRecords(msgspec.Struct):
--- a/ryepier/emulator/rig.py
+++ b/ryepier/emulator/rig.py
@@ -153,7 +153,7 @@
                 sampling.cancel()
             await self.stop_sidecars()
         finally:
-            self.kill_all()
+            await self.kill_all()
         return self.history()
 
     # Starting
@@ -292,7 +292,7 @@
             life = sidecar.lives[-1]
             life.ended_us, life.crashed = monotonic_us(), sidecar.process.poll() != 0
 
-    def kill_all(self) -> None:
+    async def kill_all(self) -> None:
         for sidecar in self.sidecars:
             if sidecar.process is not None and sidecar.process.poll() is None:
                 sidecar.process.kill()
@@ -300,6 +300,7 @@
         for role in self.roles:
             if role.process.returncode is None:
                 role.process.kill()
+                await role.process.wait()
 
     def history(self) -> History:
         parts = []
--- a/ryepier/emulator/world.py
+++ b/ryepier/emulator/world.py
@@ -107,7 +107,7 @@
     hint_error: Share = 0.1  # a cost hint is off by up to this share
     hints: bool = True
     closes_after: NotNegative = 0.0  # share of requests after which the client closes its connection
-    leaves: Share = 0.0  # share of tries whose client goes away in the middle
+    leaves: Share = 0.0  # share of tries whose client goes away within the aim, answered or not
 
     def __post_init__(self) -> None:
         _ordered("patience", self.patience, above_zero=True)
--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -211,7 +211,8 @@
     Experiment("breaking-point", "load raised until one sidecar's core is not enough",
                lambda scale: load("breaking-point") if scale == "small" else msgspec.structs.replace(
                    load("breaking-point"), duration_s=load("breaking-point").duration_s * FULL_LENGTH),
-               _breaking_claims, ("spin",), _breaking_figures, _SAFE_RULES),
+               _breaking_claims, ("spin",), _breaking_figures, _SAFE_RULES,
+               measured_until=lambda run: breaking_point(run)[1]),
     Experiment("ceiling", "what the emulator offers and serves by itself, on four cores",
                lambda scale: load("ceiling"), _ceiling_claims, (), _ceiling_figures,
                ("invented", "forged", "run-twice"), cores=4),
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,49 @@
+"""The sidecar's log: JSON lines with their fields, and no more a second than is allowed."""
+
+from __future__ import annotations
+
+import json
+import logging
+
+import pytest
+
+from ryepier.conf.operators import Logging
+from ryepier.logs import structured
+
+
+class Expensive:
+    """Counts how often it is rendered."""
+
+    rendered = 0
+
+    def __str__(self) -> str:
+        Expensive.rendered += 1
+        return "request 77 refused"
+
+
+@pytest.fixture
+def root(monkeypatch: pytest.MonkeyPatch) -> logging.Logger:
+    logger = logging.getLogger()
+    monkeypatch.setattr(logger, "handlers", [])
+    monkeypatch.setattr(logger, "level", logger.level)
+    return logger
+
+
+def test_a_json_line_holds_the_message_and_the_fields_of_its_request(
+        root: logging.Logger, capsys: pytest.CaptureFixture[str]) -> None:
+    structured.set_up(Logging(format="json"))
+    logging.getLogger("plovertrail.host").info("%s", "request \u00fc refused", extra={"request": "77"})
+    line = json.loads(capsys.readouterr().err)
+    assert line["message"] == "request ü refused" and line["request"] == "77"
+    assert (line["level"], line["logger"]) == ("info", "plovertrail.host") and line["time"].endswith("+00:00")
+
+
+def test_lines_past_the_limit_or_the_level_are_never_rendered(
+        root: logging.Logger, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("plovertrail.logs.time.monotonic", lambda: 1000.5)
+    structured.set_up(Logging(lines_per_s=3))
+    Expensive.rendered = 0
+    for _ in range(10):
+        root.debug("%s", Expensive())
+        root.info("%s", Expensive())
+    assert Expensive.rendered == 3 and len(capsys.readouterr().err.splitlines()) == 3
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,68 @@
+"""What a sidecar is put together from: another source and a further front stand in for the platform's."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from glenkeel.interface import ListKind, Upstream, UpstreamsUpdated
+from plovertrail import parts
+from plovertrail.__main__ import serve
+from plovertrail.config import Config, load
+from plovertrail.host import Host
+from plovertrail.server import Server
+from tests.net import OK, Sidecar, answering, configuration, free_port, request, until
+from tests.net import Upstream as Peer
+
+
+class Fixed:
+    """A source that tells of one converter for ever, and of the addresses that reloads bring."""
+
+    def __init__(self, host: Host, port: int) -> None:
+        self.host = host
+        self.port = port
+        self.reloads: list[tuple[str, int]] = []
+
+    def recall(self) -> None:
+        self.host.list_changed(UpstreamsUpdated(ListKind.CACHED, [Upstream(7)]), {7: ("127.0.0.1", self.port)})
+
+    def start(self) -> None:
+        self.host.list_changed(UpstreamsUpdated(ListKind.FULL, [Upstream(7)]), {7: ("127.0.0.1", self.port)})
+
+    def subscribe(self, active: bool) -> None:
+        pass
+
+    def reload(self, config: Config) -> None:
+        self.reloads.append(config.discovery)
+
+
+def test_a_source_and_two_fronts_share_one_host(tmp_path: Path) -> None:
+    async def test() -> None:
+        peer = Peer(answering(OK))
+        await peer.start()
+        path = configuration(tmp_path, known=None)
+        config = load(str(path))
+        further, made, hosts = free_port(), [], []
+
+        def source(config: Config, host: Host) -> parts.Source:
+            made.append(Fixed(host, peer.port))
+            return made[-1]
+
+        def front(config: Config, host: Host) -> parts.Front:
+            hosts.append(host)
+            return Server(host, config.settings, ("127.0.0.1", further), 10)
+
+        stop, reload = asyncio.Event(), asyncio.Event()
+        task = asyncio.create_task(serve(config, stop, reload, parts.Parts(source, (parts.http_front, front))))
+        await until(lambda: len(hosts) == 1)
+        for port in (config.listen[1], further):
+            sidecar = Sidecar(port, stop, reload, task)
+            head, _ = await sidecar.ask(request("pay", body=b"b", deadline_ms=1000))
+            assert head.startswith(b"HTTP/1.1 200 ")
+        reload.set()
+        await until(lambda: made[0].reloads == [("127.0.0.1", 1)])
+        stop.set()
+        await task
+        peer.stop()
+
+    asyncio.run(test())
