--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -38,6 +38,7 @@
 MUTE = 3  # attempts of a class unanswered in a row from which on it rests there between sends
 LONGEST_MUTE = 5  # as if so many
 MOST_MUTE = 2 / 3  # hazard: with more upstreams than this resting the fleet is slow, and none rests
+MOST_PLANNED = 0.5  # hazard: a plan that rests more upstreams than this is wrong, and none rests by it
 ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
 LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
 RATE_MEMORY_US = 5_000_000
@@ -85,6 +86,7 @@
         self.slow_start = False  # its slots open fast until its first slow answer or fault
         self.faults = 0.0  # share of its attempts that failed at once or spoilt, smoothed
         self.rests = False  # as last logged
+        self.advice = api.Advice(entry.id)  # of the plan in force; this one changes nothing
 
 
 class Attempt:
@@ -133,6 +135,8 @@
         self.overloaded = False  # as last logged: from a fifth unsent until one in fifty
         self.next_log_us = now_us
         self.wakeups: list[tuple[int, str, int, int]] = []  # (when, what, request, attempt); a heap
+        self.planned_rests = False  # whether the plan's rests are kept
+        self.tenant_worth: list[float] = []  # as planned; empty = judged by what is seen here
         self.armed_us = self.list_failures = 0  # armed: the next timer already asked for; 0 = none
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
         self.ask_list_at(now_us)
@@ -153,6 +157,8 @@
             self.requests[event.request].streaming = True
         elif isinstance(event, api.UpstreamsUpdated):
             self.on_list(event)
+        elif isinstance(event, api.PlanUpdated):
+            self.on_plan(event)
         self.fill_from_buffer()
         self.arm()
         actions, self.actions = self.actions, []
@@ -203,11 +209,13 @@
 
     def value(self, request: Request) -> float:
         """The worth of a slot's time given to this request; what is beyond its tenant's share counts less.
-        The share is judged among the tenants seen here: of total rates a sidecar knows nothing."""
+        Without a plan the share is judged among the tenants seen here: a sidecar knows no total rates."""
         s, worth = self.settings, self.class_of(request).worth
         if not s.worth_by_work:
             worth /= self.mean_us[request.event.class_index]
-        if request.event.tenant < len(s.tenants):
+        if request.event.tenant < len(self.tenant_worth):
+            worth *= s.over_share_worth + (1.0 - s.over_share_worth) * self.tenant_worth[request.event.tenant]
+        elif request.event.tenant < len(s.tenants):
             allowed = s.tenants[request.event.tenant].allowance_per_s / self.allowed_per_s
             seen = self.tenant_seen[request.event.tenant] / sum(self.tenant_seen)
             worth *= s.over_share_worth + (1.0 - s.over_share_worth) * min(1.0, allowed / seen)
@@ -263,7 +271,8 @@
         cold = self.warmth(server) < 1.0
         if self.now_us < server.rest_until_us or (cold and server.pool.served < server.next_cold):
             return 0
-        return 1 if cold else max(1, int(server.window))
+        slots = 1 if cold else max(1, int(server.window))
+        return min(slots, server.advice.most_slots) if server.advice.most_slots > 0 else slots
 
     def judge(self, attempt: Attempt, elapsed_us: int, class_index: int) -> None:
         """How an attempt's end opens or closes its upstream's slots."""
@@ -359,8 +368,10 @@
         for server in servers:
             slots = self.open_slots(server) - server.used
             rests = self.now_us < server.mute_until_us[index] and some_rest
+            rests |= server.advice.rests and self.planned_rests
             if slots > 0 and not rests and self.in_group(request, server):
                 share = slots / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
+                share *= server.advice.weight
                 found.append((server, share / (1.0 + server.turned[index] / TURNED_BORNE)))
         return [pair for pair in found if pair[0] not in tried] or found
 
@@ -551,6 +562,22 @@
                 self.pace_cold(server, self.random.random())
         for pool in self.pools:
             pool.in_use = [server for server in pool.in_use if self.servers.get(server.entry.id) is server]
+        self.count_planned()
+
+    def on_plan(self, event: api.PlanUpdated) -> None:
+        """Hazard: advice must never bring back what the list has taken away, so it is kept with the upstreams
+        that are listed, and nowhere else."""
+        advice = {one.upstream: one for one in event.advice}
+        for ident, server in self.servers.items():
+            server.advice = advice.get(ident) or api.Advice(ident)
+        self.tenant_worth = event.tenant_worth
+        self.count_planned()
+
+    def count_planned(self) -> None:
+        """Hazard: a plan that rests too many, or of whose others the list has lost most, must not leave a
+        sidecar without upstreams."""
+        resting = sum(1 for server in self.servers.values() if server.advice.rests)
+        self.planned_rests = resting <= MOST_PLANNED * len(self.servers)
 
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -212,7 +212,26 @@
     payload: bytes
 
 
-Event = (UpstreamsUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted | ProbeEnded
+@dataclass(slots=True)
+class Advice:
+    """What a plan says of one upstream, as far as the sidecar trusts it at this moment."""
+
+    upstream: int
+    weight: float = 1.0  # its slots count so much in the draw
+    most_slots: int = 0  # no more are opened; 0 = no limit of the plan's
+    rests: bool = False  # nothing new while others are there
+
+
+@dataclass(slots=True)
+class PlanUpdated:
+    """Advice in place of all earlier advice; upstreams that it does not name, or that the list lacks, go without.
+    It bounds and informs: which upstream gets a request is still decided here."""
+
+    advice: list[Advice] = field(default_factory=list)
+    tenant_worth: list[float] = field(default_factory=list)  # by tenant: 1 = within its share over all sidecars
+
+
+Event = (UpstreamsUpdated | PlanUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted | ProbeEnded
          | TimerFired | PeerMessage)
 
 
--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -46,7 +46,10 @@
     host.start()
     source.start()
     fronts = [make(settings, host) for make in parts.fronts]
+    companions = [make(settings, host, source) for make in parts.companions]
     following = loop.create_task(follow(settings.path, reload, source))
+    for companion in companions:
+        companion.start()
     for front in fronts:
         front.listen()
     await stop.wait()
@@ -62,6 +65,8 @@
         await asyncio.sleep(0.01)
         for front in fronts:
             front.stop_idle()
+    for companion in companions:
+        companion.stop()
 
 
 async def run(settings: config.Config, parts: Parts = PLATFORM) -> None:
--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -24,6 +24,7 @@
     kinds: list[str]
     idle_us: int  # upstreams close a connection that has been idle for this long
     known: Any  # the upstream list as last had, in discovery's form
+    name: str = ""  # the same after a restart
     path: str = ""  # the file, to be read again on SIGHUP
 
 
@@ -67,5 +68,6 @@
         kinds=list(settings["kinds"]),
         idle_us=int(float(pairs["bounds.conn-idle"])),
         known=raw.get("known"),
+        name=str(raw.get("name", "")),
         path=path,
     )
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -7,7 +7,7 @@
 import json
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import httptools
@@ -179,6 +179,9 @@
             self.timer = self.loop.call_later(SILENCE_S, self.check)
             self.dial = self.loop.create_task(self.connect(self.watch))
 
+    def idents(self) -> Mapping[str, int]:
+        return self.directory.idents
+
     def reload(self, config: Config) -> None:
         self.move(config.discovery)
 
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -99,6 +99,22 @@
         """Close those connections, and the busy ones once they are done."""
 
 
+class Observer(Protocol):
+    """Is told of what is sent and how it ends; it decides nothing, and must be quick."""
+
+    def arrived(self, tenant: int) -> None:
+        """A request has been taken."""
+
+    def refused(self) -> None:
+        """One has been refused."""
+
+    def sent(self, upstream: int, token: int, class_index: int) -> None:
+        """An attempt goes out; `token` names it until its end."""
+
+    def ended(self, upstream: int, token: int, outcome: api.Outcome, elapsed_us: int) -> None:
+        """It is over."""
+
+
 @dataclass(slots=True)
 class Attempt:
     upstream: int
@@ -149,6 +165,7 @@
         self.loop = asyncio.get_running_loop()
         self.upstreams = upstreams
         self.subscribe: Callable[[bool], None] = lambda active: None
+        self.observer: Observer | None = None
         self.requests: dict[int, Request] = {}
         self.addresses: dict[int, tuple[str, int]] = {}
         self.last_ident = 0
@@ -170,6 +187,8 @@
         self.requests[request.ident] = request
         # hazard: whatever becomes of the module's own timers, no client is left without an answer
         request.timer = self._at(due_us + BACKSTOP_US, self._overdue, request)
+        if self.observer is not None:
+            self.observer.arrived(call.tenant)
         self._tell(api.RequestArrived(request.ident, due_us, call.class_index, call.tenant, call.key,
                                       call.cost_us, call.retried))
         return request.ident
@@ -194,6 +213,10 @@
                 self._forget(entry.id)
         self._tell(event)
 
+    def planned(self, event: api.PlanUpdated) -> None:
+        """There is new advice for the module."""
+        self._tell(event)
+
     @property
     def ready(self) -> bool:
         """Whether there is an upstream to send to."""
@@ -269,6 +292,8 @@
         self._finish(request)
         if answer.verdict is not Verdict.SERVED:
             self._log_unserved(request, answer)
+            if self.observer is not None and answer.verdict is Verdict.REFUSED:
+                self.observer.refused()
         request.reply(answer)
 
     def _log_unserved(self, request: Request, answer: Answer) -> None:
@@ -309,6 +334,8 @@
             return
         timeout_us = min(action.timeout_us or left_us, left_us)
         attempt.timer = self._at(now_us + timeout_us, self._timed_out, request, number)
+        if self.observer is not None:
+            self.observer.sent(action.upstream, self._token(request, number), request.call.class_index)
         attempt.flight = self.upstreams.start(
             action.upstream, address, request.call, timeout_us,
             lambda result: self._end_attempt(request, number, result))
@@ -343,10 +370,15 @@
         if result.outcome is api.Outcome.OK:
             self._answer(request.ident, Answer(Verdict.SERVED, result.body, result.content_type))
         elapsed_us = clock_us() - attempt.sent_us
+        if self.observer is not None:
+            self.observer.ended(attempt.upstream, self._token(request, number), result.outcome, elapsed_us)
         self._drop_if_done(request)
         self._tell(api.AttemptEnded(request.ident, number, attempt.upstream, result.outcome, elapsed_us,
                                     request.over))
 
+    def _token(self, request: Request, number: int) -> int:
+        return request.ident * self.settings.max_attempts + number
+
     def _forget(self, ident: int) -> None:
         if self.addresses.pop(ident, None) is not None:
             self.upstreams.forget(ident)
--- a/plovertrail/parts.py
+++ b/plovertrail/parts.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -27,6 +27,9 @@
     def subscribe(self, active: bool) -> None:
         """The module asks for changes, or wants none any more."""
 
+    def idents(self) -> Mapping[str, int]:
+        """The upstreams that the source knows: by uid the number that the host and the module use."""
+
     def reload(self, config: Config) -> None:
         """There is a new configuration: of what it says, take what concerns this source."""
 
@@ -47,12 +50,23 @@
         """How many connections are open."""
 
 
+class Companion(Protocol):
+    """Runs beside the sidecar and may give its module advice; no request ever waits for it."""
+
+    def start(self) -> None:
+        """From now on."""
+
+    def stop(self) -> None:
+        """The sidecar ends."""
+
+
 @dataclass(frozen=True, slots=True)
 class Parts:
     """How to make the source and the fronts of one sidecar; each front shares the one host."""
 
     source: Callable[[Config, Host], Source]
     fronts: Sequence[Callable[[Config, Host], Front]]
+    companions: Sequence[Callable[[Config, Host, Source], Companion]] = ()
 
 
 def discovery_source(config: Config, host: Host) -> Source:
--- a/ryepier/cli.py
+++ b/ryepier/cli.py
@@ -1,24 +1,46 @@
-"""The `ryepier` command: one small module a subcommand."""
+"""The `ryepier` command: one small module a subcommand, imported when it is called."""
 
 from __future__ import annotations
 
+import importlib
+
 import click
 
-from ryepier.commands import config, demo, emulate, experiment, load, run
+# name of the command: what it does, for the list of all; its module has the function of the same name
+COMMANDS = {
+    "config": "Check configuration files.",
+    "demo": "Play a small world for under 30 s and write a report of it.",
+    "emulate": "Run the stand-ins of a world file alone.",
+    "experiment": "Play named experiments and judge them.",
+    "load": "Send requests to a sidecar as its application would.",
+    "plan": "Show what planners say, and why.",
+    "planner": "Run one planner until SIGTERM.",
+    "run": "Run one sidecar until SIGTERM.",
+}
+
+
+class Commands(click.Group):
+    """Hazard: with every module imported a sidecar would start with the plotting libraries in its memory."""
+
+    def list_commands(self, context: click.Context) -> list[str]:
+        return sorted(COMMANDS)
 
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        if name not in COMMANDS:
+            return None
+        command = getattr(importlib.import_module(f"ryepier.commands.{name}"), name)
+        assert isinstance(command, click.Command)
+        return command
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+    def format_commands(self, context: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl(sorted(COMMANDS.items()))
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="ryepier")
 def main() -> None:
     """A sidecar balancer, and the world to try it in.
 
     Exit codes: 0 well, 1 what was asked for does not hold, 2 misuse.
     """
-
-
-main.add_command(config.config)
-main.add_command(demo.demo)
-main.add_command(emulate.emulate)
-main.add_command(experiment.experiment)
-main.add_command(load.load)
-main.add_command(run.run)
--- a/ryepier/commands/demo.py
+++ b/ryepier/commands/demo.py
@@ -14,8 +14,8 @@
 
 from ryepier.emulator.rig import RigError, Watcher
 from ryepier.experiments import contract, figures, report
-from ryepier.experiments.catalogue import load
 from ryepier.experiments.contract import Claim, Experiment, Run
+from ryepier.experiments.worlds import load
 
 PLAIN_EVERY_S = 2.0
 
--- a/ryepier/commands/load.py
+++ b/ryepier/commands/load.py
@@ -17,7 +17,7 @@
 from ryepier.emulator import rig
 from ryepier.emulator.world import World
 from ryepier.experiments import figures
-from ryepier.experiments.catalogue import load as load_world
+from ryepier.experiments.worlds import load as load_world
 
 
 def checked_address(context: click.Context, parameter: click.Parameter, text: str) -> tuple[str, int]:
--- a/ryepier/commands/run.py
+++ b/ryepier/commands/run.py
@@ -12,8 +12,42 @@
 from plovertrail import config as platform
 from plovertrail.__main__ import UNREADABLE
 from plovertrail.__main__ import run as run_sidecar
+from plovertrail.config import parse_address
+from plovertrail.host import Host
+from plovertrail.parts import PLATFORM, Companion, Parts, Source
 from ryepier.commands.config import read_operators_file
+from ryepier.conf.operators import Operators
 from ryepier.logs import structured
+from ryepier.plan import follow, forwarder
+
+
+def trust_rules(operators: Operators) -> follow.Rules:
+    """The operators' [trust] as the plan's own rules."""
+    trust = operators.trust
+    return follow.Rules(trust.fleet, trust.least_reporters, trust.least_window_ms, trust.least_covered,
+                        trust.most_resting, trust.least_weight)
+
+
+def make_forwarder(operators: Operators, config: platform.Config, host: Host, source: Source) -> Companion:
+    """The part that reports to planners and follows their plans, as the host's observer."""
+    def ready() -> dict[str, int]:
+        return {uid: ident for uid, ident in source.idents().items() if ident in host.addresses}
+
+    plan = operators.plan
+    settings = forwarder.Settings(plan.name or config.name, [parse_address(text) for text in plan.planners],
+                                  trust_rules(operators), plan.report_ms / 1000)
+    made = forwarder.Forwarder(settings, forwarder.Sidecar(
+        ready, host.planned, [kind.aim_us for kind in config.settings.classes], len(config.settings.tenants)))
+    host.observer = made
+    return made
+
+
+def parts_for(operators: Operators) -> Parts:
+    """The platform's parts, and what the operators' file adds to them."""
+    if not operators.plan.planners:
+        return PLATFORM
+    return Parts(PLATFORM.source, PLATFORM.fronts,
+                 (lambda config, host, source: make_forwarder(operators, config, host, source),))
 
 
 @click.command()
@@ -26,7 +60,9 @@
     structured.set_up(operators.logging)
     try:
         settings = platform.load(platform_path)
+        if operators.plan.planners and not (operators.plan.name or settings.name):
+            raise ValueError("a forwarder needs a name: none in it, and no plan.name in the operators' file")
     except UNREADABLE as error:
         print(f"ryepier run: {platform_path}: {error!r}", file=sys.stderr)
         sys.exit(2)
-    asyncio.run(run_sidecar(settings))
+    asyncio.run(run_sidecar(settings, parts_for(operators)))
--- a/ryepier/conf/operators.py
+++ b/ryepier/conf/operators.py
@@ -21,10 +21,52 @@
     lines_per_s: Annotated[int, msgspec.Meta(ge=1, le=MOST_LINES_A_SECOND)] = 5
 
 
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^:/\s]+:[0-9]{1,5}$")]  # host:port
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+
+class Trust(msgspec.Struct, kw_only=True, frozen=True):
+    """What a plan must rest on; the same for forwarders, who hold plans to it, and planners, who keep to it."""
+
+    fleet: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1  # forwarders there are, about
+    least_reporters: Share = 0.5
+    least_window_ms: Annotated[int, msgspec.Meta(ge=0, le=60_000)] = 1000
+    least_covered: Share = 0.5
+    most_resting: Share = 0.4
+    least_weight: Share = 0.4
+
+
+class Plan(msgspec.Struct, kw_only=True, frozen=True):
+    """A sidecar as a forwarder: whose plans it follows. Without planners it follows none."""
+
+    planners: list[Address] = msgspec.field(default_factory=list)
+    report_ms: Annotated[int, msgspec.Meta(ge=200, le=60_000)] = 500
+    name: str = ""  # by default the platform's
+
+
+class Planner(msgspec.Struct, kw_only=True, frozen=True):
+    """A planner, as `ryepier planner` starts it."""
+
+    name: Name = "planner"
+    listen: Address = "127.0.0.1:7400"
+    peers: dict[Name, Address] = msgspec.field(default_factory=dict)
+    tenant_shares: list[Share] = msgspec.field(default_factory=list)  # in the order of the platform's accounts
+    most_forwarders: Annotated[int, msgspec.Meta(ge=1, le=20_000)] = 2000
+    snapshots: str = ""  # the folder; empty: none are kept
+
+    def __post_init__(self) -> None:
+        if self.name in self.peers:
+            raise ValueError(f"peers: {self.name!r} is this planner's own name")
+
+
 class Operators(msgspec.Struct, kw_only=True, frozen=True):
     """The whole file; every table may be left out."""
 
     logging: Logging = msgspec.field(default_factory=Logging)
+    plan: Plan = msgspec.field(default_factory=Plan)
+    planner: Planner = msgspec.field(default_factory=Planner)
+    trust: Trust = msgspec.field(default_factory=Trust)
 
 
 def parse(text: str, environment: Mapping[str, str]) -> Operators:
--- a/ryepier/emulator/process.py
+++ b/ryepier/emulator/process.py
@@ -18,6 +18,7 @@
 CONVERTER_PORT = 9000
 DISCOVERY_PORT = 8500
 SIDECAR_PORT = 9000
+PLANNER_PORT = 7400
 TAIL_S = 1.0  # after the last deadline, for what comes late
 
 
@@ -46,6 +47,9 @@
     def sidecar_address(self, sidecar: int) -> tuple[str, int]:
         return f"127.{self.network}.253.{sidecar + 1}", SIDECAR_PORT
 
+    def planner_address(self, planner: int) -> tuple[str, int]:
+        return f"127.{self.network}.254.{planner + 1}", PLANNER_PORT
+
 
 def monotonic_us() -> int:
     """The clock that all processes of the machine share."""
--- a/ryepier/emulator/rig.py
+++ b/ryepier/emulator/rig.py
@@ -6,6 +6,7 @@
 import errno
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -21,10 +22,13 @@
 from ryepier.emulator import discovery, timeline
 from ryepier.emulator.process import CONVERTER_PORT, Clock, Plan, monotonic_us
 from ryepier.emulator.records import Happening, History, Life, RoleRecords, join
-from ryepier.emulator.timeline import Timeline, Verb, Who
+from ryepier.emulator.timeline import Step, Timeline, Verb, Who
 from ryepier.emulator.world import World
 
 SIDECAR = (sys.executable, "-B", "-m", "plovertrail")
+FORWARDER = (sys.executable, "-B", "-m", "ryepier", "run")
+PLANNER = (sys.executable, "-B", "-m", "ryepier", "planner")
+OPERATORS = "operators.toml"  # the sidecars' common operators' file, where the world has planners
 FIRST_NETWORK, LAST_NETWORK = 16, 250  # of 127.network.x.y; the lower ones are left to others
 UP_WITHIN_S = 20.0
 BEGIN_AFTER_S = 0.5  # all processes hear of the beginning well before it
@@ -110,7 +114,10 @@
 class Cast:
     """Who takes part in a run; by default all that the world names."""
 
-    sidecar_command: Sequence[str] = SIDECAR  # empty: their configurations are written, and others start them
+    sidecar_command: Sequence[str] | None = None  # by default the sidecar or, with planners, the forwarder; empty:
+    # their configurations are written, and others start them
+    planner_command: Sequence[str] = PLANNER
+    planner_restart: Sequence[str] = PLANNER  # once it was killed
     clients: bool = True
     stand_ins: bool = True  # converters and discovery
     targets: Sequence[tuple[str, int]] = ()  # whom the clients load, in place of the world's sidecars
@@ -124,6 +131,14 @@
         self.world = world
         self.folder = folder
         self.cast = cast or Cast()
+        forwards = world.planners.count > 0
+        command = self.cast.sidecar_command
+        if command is None:
+            command = FORWARDER if forwards else SIDECAR
+        if command and forwards:
+            command = (*command, "--config", str(folder / OPERATORS))
+        self.sidecar_command = command
+        self.planners: list[subprocess.Popen[bytes]] = []
         self.plan = Plan(world, seed, find_network(), role="rig", targets=list(self.cast.targets))
         self.timeline: Timeline = timeline.build(world, seed)
         self.watcher = watcher
@@ -136,10 +151,13 @@
     async def play(self) -> History:
         """The whole run; whatever comes, no process is left behind. Raises RigError."""
         self.folder.mkdir(parents=True, exist_ok=True)
+        for old in self.folder.glob("*.log"):  # of an earlier run
+            old.unlink()
         try:
             await self.start_roles()
             self.write_configurations()
-            if self.cast.sidecar_command:
+            self.start_planners()
+            if self.sidecar_command:
                 for sidecar in self.sidecars:
                     self.start_sidecar(sidecar)
                 await asyncio.gather(*(self.until_up(sidecar) for sidecar in self.sidecars))
@@ -197,10 +215,37 @@
                 "settings": sidecar_settings(self.world, index)}))
             self.sidecars.append(Sidecar(index, config, self.folder / f"sidecar-{index}.log"))
 
+    def start_planners(self) -> None:
+        """Their files, the sidecars' common one, and the processes."""
+        planners, fleet = self.world.planners, self.world.sidecars.count
+        if not planners.count:
+            return
+        addresses = [":".join(map(str, self.plan.planner_address(index))) for index in range(planners.count)]
+        trust = f"[trust]\nfleet = {fleet}\n"
+        (self.folder / OPERATORS).write_text(
+            f"[logging]\nformat = \"json\"\n[plan]\nplanners = {json.dumps(addresses)}\n"
+            f"report_ms = {planners.report_ms}\n{trust}")
+        for index in range(planners.count):
+            snapshots = self.folder / f"planner-{index}"
+            shutil.rmtree(snapshots, ignore_errors=True)
+            snapshots.mkdir()
+            peers = ", ".join(f'planner-{i} = "{address}"' for i, address in enumerate(addresses) if i != index)
+            shares = [tenant.share for tenant in self.world.tenants]
+            (self.folder / f"planner-{index}.toml").write_text(
+                f'[logging]\nformat = "json"\n{trust}[planner]\nname = "planner-{index}"\n'
+                f'listen = "{addresses[index]}"\npeers = {{ {peers} }}\ntenant_shares = {shares}\n'
+                f'snapshots = "{snapshots if planners.snapshots else ""}"\n')
+            self.planners.append(self.start_planner(index, self.cast.planner_command))
+
+    def start_planner(self, index: int, command: Sequence[str]) -> subprocess.Popen[bytes]:
+        with open(self.folder / f"planner-{index}.log", "ab") as log:
+            return subprocess.Popen([*command, "--config", str(self.folder / f"planner-{index}.toml")],
+                                    stdout=log, stderr=log)
+
     def start_sidecar(self, sidecar: Sidecar) -> None:
         with open(sidecar.log, "ab") as log:
             environment = os.environ | {"BALANCER_CONFIG": str(sidecar.config)}
-            sidecar.process = subprocess.Popen(self.cast.sidecar_command, env=environment, stdout=log, stderr=log)
+            sidecar.process = subprocess.Popen(self.sidecar_command, env=environment, stdout=log, stderr=log)
         sidecar.lives.append(Life(sidecar.index, monotonic_us(), -1))
 
     async def until_up(self, sidecar: Sidecar) -> None:
@@ -260,21 +305,35 @@
         sidecar.lives[-1].samples.append((monotonic_us(), cpu_us, int(fields[21]) * PAGE_KIB))
 
     async def steps(self) -> None:
-        """Those that are done to sidecars."""
-        if not self.cast.sidecar_command:
-            return
-        for step in [step for step in self.timeline.steps if step.who is Who.SIDECAR]:
+        """Those that are done to sidecars and planners."""
+        for step in [step for step in self.timeline.steps if step.who in (Who.SIDECAR, Who.PLANNER)]:
             await asyncio.sleep(max(0.0, (step.at_us - self.clock.now_us()) / 1e6))
-            sidecar = self.sidecars[step.index]
-            self.happenings.append(Happening(self.clock.now_us(), f"sidecar {step.index}: {step.verb.value}"))
-            if step.verb is Verb.KILL and sidecar.process is not None:
-                self.take_sample(sidecar)
-                sidecar.lives[-1].killed, sidecar.lives[-1].ended_us = True, monotonic_us()
-                sidecar.process.kill()
-                sidecar.process.wait()
-            elif step.verb is Verb.RESTART:
-                self.start_sidecar(sidecar)
-                await self.until_up(sidecar)
+            self.happenings.append(
+                Happening(self.clock.now_us(), f"{step.who.value} {step.index}: {step.verb.value}"))
+            if step.who is Who.PLANNER:
+                self.step_planner(step)
+            elif self.sidecar_command:
+                await self.step_sidecar(self.sidecars[step.index], step.verb)
+
+    async def step_sidecar(self, sidecar: Sidecar, verb: Verb) -> None:
+        if verb is Verb.KILL and sidecar.process is not None:
+            self.take_sample(sidecar)
+            sidecar.lives[-1].killed, sidecar.lives[-1].ended_us = True, monotonic_us()
+            sidecar.process.kill()
+            sidecar.process.wait()
+        elif verb is Verb.RESTART:
+            self.start_sidecar(sidecar)
+            await self.until_up(sidecar)
+
+    def step_planner(self, step: Step) -> None:
+        process = self.planners[step.index]
+        if step.verb is Verb.KILL:
+            process.kill()
+            process.wait()
+        elif step.verb is Verb.RESTART:
+            self.planners[step.index] = self.start_planner(step.index, self.cast.planner_restart)
+        else:
+            process.send_signal(signal.SIGSTOP if step.verb is Verb.STALL else signal.SIGCONT)
 
     # The end
 
@@ -293,6 +352,9 @@
             life.ended_us, life.crashed = monotonic_us(), sidecar.process.poll() != 0
 
     async def kill_all(self) -> None:
+        for process in self.planners:
+            process.kill()
+            process.wait()
         for sidecar in self.sidecars:
             if sidecar.process is not None and sidecar.process.poll() is None:
                 sidecar.process.kill()
--- a/ryepier/emulator/timeline.py
+++ b/ryepier/emulator/timeline.py
@@ -21,8 +21,10 @@
     DRAIN = "drain"  # a converter: finish the work and take nothing new
     STOP = "stop"  # a converter's process ends
     START = "start"  # a converter's process comes up, cold
-    KILL = "kill"  # a sidecar: SIGKILL
-    RESTART = "restart"  # a sidecar: it is started again
+    KILL = "kill"  # a sidecar or planner: SIGKILL
+    RESTART = "restart"  # it is started again
+    STALL = "stall"  # a planner: it hangs, its connections open
+    RESUME = "resume"
     TELL = "tell"  # an agent writes a change to its sidecar
     SILENCE = "silence"  # an agent says nothing, not even heartbeats
     SPEAK = "speak"
@@ -35,6 +37,7 @@
     CONVERTER = "converter"
     SIDECAR = "sidecar"
     DISCOVERY = "discovery"
+    PLANNER = "planner"
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +97,13 @@
             elif fault.kind == "release":
                 self.release(fault)
             elif fault.kind == "sidecar-kill":
-                self.kill_sidecars(fault)
+                self.kill(fault, Who.SIDECAR, self.world.sidecars.count)
+            elif fault.kind == "planner-kill":
+                self.kill(fault, Who.PLANNER, self.world.planners.count)
+            elif fault.kind == "planner-hang":
+                for index in draws.struck(self.world.planners.count, fault, self.random):
+                    self.step(us(fault.at_s), Who.PLANNER, index, Verb.STALL, fault)
+                    self.step(us(fault.at_s + fault.for_s), Who.PLANNER, index, Verb.RESUME, fault)
             elif fault.kind in ("discovery-down", "discovery-silent", "watch-break"):
                 self.strike_discovery(fault)
             # surges and tails are in the arrivals as drawn
@@ -131,10 +140,10 @@
             self.steps.append(Step(since_us + late_us, Who.DISCOVERY, sidecar, Verb.TELL, fault.kind,
                                    uid=instance.uid, state=state))
 
-    def kill_sidecars(self, fault: Fault) -> None:
-        for index in draws.struck(self.world.sidecars.count, fault, self.random):
-            self.step(us(fault.at_s), Who.SIDECAR, index, Verb.KILL, fault)
-            self.step(us(fault.at_s + fault.down_s), Who.SIDECAR, index, Verb.RESTART, fault)
+    def kill(self, fault: Fault, who: Who, count: int) -> None:
+        for index in draws.struck(count, fault, self.random):
+            self.step(us(fault.at_s), who, index, Verb.KILL, fault)
+            self.step(us(fault.at_s + fault.down_s), who, index, Verb.RESTART, fault)
 
     def strike_discovery(self, fault: Fault) -> None:
         verbs = {"discovery-down": (Verb.DOWN, Verb.UP), "discovery-silent": (Verb.SILENCE, Verb.SPEAK),
--- a/ryepier/emulator/world.py
+++ b/ryepier/emulator/world.py
@@ -139,9 +139,18 @@
         _ordered("late_ms", self.late_ms)
 
 
+class Planners(msgspec.Struct, kw_only=True, frozen=True):
+    """Planners beside the sidecars, each a process of its own; with any the sidecars are forwarders."""
+
+    count: Annotated[int, msgspec.Meta(ge=0, le=20)] = 0
+    report_ms: Annotated[int, msgspec.Meta(ge=200)] = 250
+    snapshots: bool = True
+
+
 FaultKind = Literal[
     "hang", "refuse", "reset-before", "reset-after", "half-answer", "slow", "cut", "release", "sidecar-kill",
-    "discovery-down", "discovery-silent", "watch-break", "surge", "tenant-surge", "hot-sidecar", "heavy-tail"]
+    "discovery-down", "discovery-silent", "watch-break", "surge", "tenant-surge", "hot-sidecar", "heavy-tail",
+    "planner-kill", "planner-hang"]
 
 
 class Fault(msgspec.Struct, kw_only=True, frozen=True):
@@ -156,7 +165,7 @@
     tenant: str = ""
     request_class: str = ""
     drain_s: NotNegative = 1.0  # release: from draining to the end
-    down_s: NotNegative = 0.5  # release: from the end to the replacement's start; sidecar-kill: till it starts again
+    down_s: NotNegative = 0.5  # release: from the end to the replacement's start; a kill: till the next start
     index: Annotated[int, msgspec.Meta(ge=0)] | None = None  # the one that it strikes; by default drawn
 
 
@@ -182,6 +191,7 @@
     reports: Reports = msgspec.field(default_factory=Reports)
     discovery: Discovery = msgspec.field(default_factory=Discovery)
     faults: list[Fault] = msgspec.field(default_factory=list)
+    planners: Planners = msgspec.field(default_factory=Planners)
     rig: Rig = msgspec.field(default_factory=Rig)
 
     def __post_init__(self) -> None:
@@ -209,6 +219,8 @@
             raise ValueError(f"{where}: unknown tenant {fault.tenant!r}")
         if fault.kind == "heavy-tail" and fault.request_class not in {c.name for c in self.classes}:
             raise ValueError(f"{where}: unknown request_class {fault.request_class!r}")
+        if fault.kind in ("planner-kill", "planner-hang") and self.planners.count == 0:
+            raise ValueError(f"{where}: the world has no planners")
         if fault.kind in ("sidecar-kill", "hot-sidecar") and self.sidecars.count == 0:
             raise ValueError(f"{where}: the world has no sidecars")
 
--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from importlib import resources
 
 import msgspec
 import numpy as np
 
 from ryepier.emulator import draws, timeline
-from ryepier.emulator import world as worlds
 from ryepier.emulator.timeline import Verb, Who
 from ryepier.emulator.world import Fault, World
-from ryepier.experiments import figures
+from ryepier.experiments import figures, planning
 from ryepier.experiments.contract import Claim, Experiment, Run, Scale
+from ryepier.experiments.worlds import load
 
 FULL_FLEET = 3  # `full` has so many times the converters, sidecars and traffic of `small`
 FULL_LENGTH = 2  # and lasts so many times as long, its faults later and longer alike
@@ -21,11 +20,6 @@
 WINDOW_S = 1.0
 
 
-def load(name: str) -> World:
-    """A world that comes with the project."""
-    return worlds.parse(resources.files("ryepier.worlds").joinpath(f"{name}.toml").read_text())
-
-
 def scaled(world: World, scale: Scale) -> World:
     """The world itself, or one several times as large and long."""
     if scale == "small":
@@ -216,4 +210,5 @@
     Experiment("ceiling", "what the emulator offers and serves by itself, on four cores",
                lambda scale: load("ceiling"), _ceiling_claims, (), _ceiling_figures,
                ("invented", "forged", "run-twice"), cores=4),
+    *planning.EXPERIMENTS,
 )}
--- a/ryepier/experiments/contract.py
+++ b/ryepier/experiments/contract.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import operator
 import os
 import platform
@@ -63,6 +64,8 @@
     history: History
     orders: list[figures.Order]
     breaches: list[judge.Breach]
+    folder: Path
+    other: Run | None = None  # the paired one
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +80,8 @@
     more_figures: Callable[[Run], Mapping[str, float]] = lambda run: {}
     rules: Sequence[str] = tuple(judge.RULES)  # those that must hold in it
     measured_until: Callable[[Run], float] | None = None  # seconds that count; by default the whole run
+    planner_restart: str = ""  # a planner that was killed comes back with this mistake
+    paired: Callable[[World], World] | None = None  # played too, on the same seed, to compare with
     cores: int = 0  # run on so many only; 0 = all there are
 
 
@@ -101,26 +106,36 @@
             watcher: rig.Watcher | None = None) -> list[Claim]:
     """Play it, judge it, and write all that came out into `folder`. Raises rig.RigError where the rig failed."""
     world = experiment.world(scale)
-    cast = rig.Cast(sidecar_command=planted.command(plant) if plant else rig.SIDECAR)
+    cast = rig.Cast(sidecar_command=planted.command(plant) if plant else None)
+    if experiment.planner_restart:
+        cast = dataclasses.replace(cast, planner_restart=planted.command(experiment.planner_restart))
     had = os.sched_getaffinity(0)
     if experiment.cores:
         os.sched_setaffinity(0, set(sorted(had)[:experiment.cores]))  # the run's processes inherit it
     try:
-        history = rig.play(world, seed, folder, cast, watcher)
+        other = None
+        if experiment.paired is not None:
+            other = _play(experiment.paired(world), seed, folder / "paired", dataclasses.replace(
+                cast, sidecar_command=None), watcher)
+        run = dataclasses.replace(_play(world, seed, folder, cast, watcher), other=other)
     finally:
         os.sched_setaffinity(0, had)
-    run = Run(world, seed, history, figures.orders(world, history.tries), judge.judge(world, history))
     counts = Counter(breach.rule for breach in run.breaches)
     claims = [on_time(run, experiment.measured_until)]
     claims += [Claim(f"rule {rule}: breaches", counts[rule], "==", 0) for rule in experiment.rules]
     claims += experiment.claims(run)
     result = Result(
         experiment.name, seed, scale, [msgspec.to_builtins(claim) | {"holds": claim.holds} for claim in claims],
-        {**figures.summary(world, history, run.orders), **experiment.more_figures(run)}, versions(), plant)
+        {**figures.summary(world, run.history, run.orders), **experiment.more_figures(run)}, versions(), plant)
     save(folder, run, result)
     return claims
 
 
+def _play(world: World, seed: int, folder: Path, cast: rig.Cast, watcher: rig.Watcher | None) -> Run:
+    history = rig.play(world, seed, folder, cast, watcher)
+    return Run(world, seed, history, figures.orders(world, history.tries), judge.judge(world, history), folder)
+
+
 def save(folder: Path, run: Run, result: Result) -> None:
     (folder / RESULT).write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=2))
     (folder / HISTORY).write_bytes(msgspec.msgpack.encode(run.history))
--- /dev/null
+++ b/ryepier/experiments/planning.py
@@ -0,0 +1,180 @@
+"""Experiments on forwarders and planners: planners lost, killed, forgetful; and what they are worth."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+
+from ryepier.emulator import timeline
+from ryepier.emulator.timeline import Who
+from ryepier.emulator.world import Fault, World
+from ryepier.experiments import figures
+from ryepier.experiments.contract import Claim, Experiment, Run, Scale
+from ryepier.experiments.worlds import load
+
+AVOID_STEP_S = 0.1
+AVOID_WINDOW_S = 1.5  # a forwarder avoids the hung converters from when on it sends them next to nothing for so long
+AVOID_MOST = 1  # attempts in it: a trial
+AVOID_SHARE = 0.95  # of the forwarders
+FULL_LOSS_S = 60.0
+
+
+def without_planners(world: World) -> World:
+    """The same world with sidecars that share nothing."""
+    faults = [fault for fault in world.faults if not fault.kind.startswith("planner")]
+    return msgspec.structs.replace(world, planners=msgspec.structs.replace(world.planners, count=0), faults=faults)
+
+
+def log_lines(folder: Path, pattern: str) -> list[dict[str, object]]:
+    """The lines of the processes' JSON logs; what is no JSON is left out."""
+    found = []
+    for path in sorted(folder.glob(pattern)):
+        for line in path.read_text(errors="replace").splitlines():
+            try:
+                found.append(json.loads(line) | {"file": path.name})
+            except ValueError:
+                continue
+    return found
+
+
+def _logs_with(run: Run, pattern: str, text: str) -> list[dict[str, object]]:
+    return [line for line in log_lines(run.folder, pattern) if text in str(line.get("message"))]
+
+
+def _files_with(run: Run, text: str) -> int:
+    """How many sidecars logged it."""
+    return len({line["file"] for line in _logs_with(run, "sidecar-*.log", text)})
+
+
+def _fault(run: Run, kind: str) -> Fault:
+    return next(fault for fault in run.world.faults if fault.kind == kind)
+
+
+def struck_uids(run: Run, kinds: tuple[str, ...]) -> set[str]:
+    """The converters that faults of these kinds strike."""
+    built = timeline.build(run.world, run.seed)
+    struck = {step.index for step in built.steps if step.who is Who.CONVERTER and step.fault in kinds}
+    return {instance.uid for instance in built.instances if instance.index in struck}
+
+
+# planner-loss: all planners away for a while, a release going on meanwhile
+
+
+def _loss_world(scale: Scale) -> World:
+    world = load("planner-loss")
+    if scale == "small":
+        return world
+    replace = msgspec.structs.replace
+    return replace(world, duration_s=world.duration_s - 12.0 + FULL_LOSS_S, faults=[
+        replace(fault, down_s=FULL_LOSS_S) if fault.kind == "planner-kill" else replace(
+            fault, for_s=FULL_LOSS_S) if fault.kind == "release" else fault for fault in world.faults])
+
+
+def _loss_claims(run: Run) -> list[Claim]:
+    fault = _fault(run, "planner-kill")
+    before = figures.service(run.orders, figures.between(1.0, fault.at_s))
+    during = figures.service(run.orders, figures.between(fault.at_s, fault.at_s + fault.down_s))
+    after = figures.service(run.orders, figures.between(fault.at_s + fault.down_s + 2.0, run.world.duration_s))
+    told = sum(notice.state == "leaving" for notice in run.history.told)
+    return [
+        Claim("forwarders that followed a plan", _files_with(run, "follows the plans"), "==", run.world.sidecars.count),
+        Claim("service lost while all planners are away (points)", 100 * (before - during), "<=", 2.0),
+        Claim("service lost once they are back (points)", 100 * (before - after), "<=", 2.0),
+        Claim("drains told of", told, ">=", run.world.sidecars.count),
+    ]
+
+
+# planner-kill: the one that leads is killed in a surge
+
+
+def _kill_claims(run: Run) -> list[Claim]:
+    second = "follows the plans of planner-1"
+    fault = _fault(run, "surge")
+    end_s = fault.at_s + fault.for_s
+    return [
+        Claim("forwarders that went over to the other planner", _files_with(run, second), ">=",
+              0.95 * run.world.sidecars.count),
+        Claim("service during the surge", figures.service(run.orders, figures.between(fault.at_s, end_s)), ">=", 0.55),
+        Claim("service from 2 s after the surge",
+              figures.service(run.orders, figures.between(end_s + 2.0, run.world.duration_s)), ">=", 0.95),
+    ]
+
+
+# planner-empty: both planners die and come back with nothing in mind, while converters hang
+
+
+def _empty_claims(run: Run) -> list[Claim]:
+    kill = _fault(run, "planner-kill")
+    begin_s, end_s = kill.at_s + kill.down_s + 1.0, run.world.duration_s
+    hung, whole = figures.attempts_between(run.history.attempts, struck_uids(run, ("hang",)), begin_s, end_s)
+    refused = _files_with(run, "is refused: too few forwarders reported")
+    taken = len({line["file"] for line in _logs_with(run, "sidecar-*.log", "follows the plans")
+                 if "epoch 10000" in str(line["message"])})
+    return [
+        Claim("forwarders that refused the empty plan", refused, "==", run.world.sidecars.count),
+        Claim("forwarders that took it", taken, "==", 0),
+        Claim("share of attempts to hung converters after it came", hung / max(1, whole), "<=", 0.02),
+    ]
+
+
+# planner-gain: a sixth of the converters hangs; the same world and seed with and without planners
+
+
+def avoided_after_s(run: Run) -> float:
+    """Seconds from the hang until 95% of the forwarders avoid the hung converters; its length where they never do."""
+    fault, uids = _fault(run, "hang"), struck_uids(run, ("hang",))
+    sidecar_of = {item.ident: item.sidecar for item in run.history.tries}
+    times: dict[int, list[float]] = {index: [] for index in range(run.world.sidecars.count)}
+    for attempt in run.history.attempts:
+        if attempt.uid in uids and attempt.ident in sidecar_of:
+            times[sidecar_of[attempt.ident]].append(attempt.last_us / 1e6 - fault.at_s)
+    at_s = 0.0
+    while at_s + AVOID_WINDOW_S <= fault.for_s:
+        avoiding = sum(sum(at_s <= t < at_s + AVOID_WINDOW_S for t in seen) <= AVOID_MOST for seen in times.values())
+        if avoiding >= AVOID_SHARE * run.world.sidecars.count:
+            return at_s
+        at_s += AVOID_STEP_S
+    return fault.for_s
+
+
+def _gain_figures(run: Run) -> Mapping[str, float]:
+    assert run.other is not None
+    hang = _fault(run, "hang")
+    during = figures.between(hang.at_s, hang.at_s + hang.for_s)
+    result = {}
+    for name, one in (("with", run), ("without", run.other)):
+        result[f"avoided_after_s_{name}"] = avoided_after_s(one)
+        result[f"service_in_the_hang_{name}"] = figures.service(one.orders, during)
+        hung, _ = figures.attempts_between(one.history.attempts, struck_uids(one, ("hang",)), hang.at_s,
+                                           hang.at_s + hang.for_s)
+        result[f"attempts_to_hung_{name}"] = hung
+    return result
+
+
+def _gain_claims(run: Run) -> list[Claim]:
+    got = _gain_figures(run)
+    lost_with, lost_without = 1 - got["service_in_the_hang_with"], 1 - got["service_in_the_hang_without"]
+    return [
+        Claim("time to avoid, with planners over without", got["avoided_after_s_with"] / max(
+            AVOID_STEP_S, got["avoided_after_s_without"]), "<=", 0.5),
+        Claim("worth lost in the hang, with planners over without", lost_with / max(1e-6, lost_without), "<=", 0.8),
+        Claim("breaches of rules without planners", sum(Counter(
+            breach.rule for breach in run.other.breaches).values()) if run.other else 0, "==", 0),
+    ]
+
+
+EXPERIMENTS = (
+    Experiment("planner-loss", "all planners away for 12 s (full: 60 s) while converters are released", _loss_world,
+               _loss_claims, ("deaf",)),
+    Experiment("planner-kill", "the planner that leads is killed in a surge of 2.3 times",
+               lambda scale: load("planner-kill"), _kill_claims, ("lose",)),
+    Experiment("planner-empty", "planners come back with nothing in mind while converters hang",
+               lambda scale: load("planner-empty"), _empty_claims, ("trust-any",), planner_restart="amnesiac"),
+    Experiment("planner-gain", "a sixth of the converters hangs, with planners and without",
+               lambda scale: load("planner-gain"), _gain_claims, ("trust-none",), _gain_figures,
+               paired=without_planners),
+)
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -1,10 +1,12 @@
-"""Sidecars with one named mistake put in on purpose, to show that a claim can fail.
+"""Sidecars and planners with one named mistake put in on purpose, to show that a claim can fail.
 
-`python -m ryepier.experiments.planted FAULT` is a sidecar like `python -m plovertrail`, but for that mistake.
+`python -m ryepier.experiments.planted FAULT` is a sidecar like `python -m plovertrail`, but for that mistake; with
+`--config FILE` it is one like `ryepier run`, and where the mistake is a planner's, one like `ryepier planner`.
 """
 
 from __future__ import annotations
 
+import runpy
 import sys
 import time
 from collections.abc import Callable
@@ -16,6 +18,12 @@
 from plovertrail import discovery
 from plovertrail.host import Answer, Call, Host, Result, Verdict, clock_us
 from plovertrail.upstreams import Attempt, Pool
+from ryepier.plan import snapshot
+from ryepier.plan.compute import Planner
+from ryepier.plan.follow import Follower
+from ryepier.plan.lead import Leadership
+from ryepier.plan.merge import Evidence
+from ryepier.plan.messages import Term
 
 EVERY_TWICE = 40  # requests; one of so many goes to a second converter too
 EVERY_LOST = 150  # answers; one of so many is never written
@@ -132,9 +140,35 @@
     time.sleep(LATE_S)
 
 
+def trust_any() -> None:
+    """A forwarder follows whatever plan comes."""
+    Follower.unsound = lambda self, plan, listed: ""  # type: ignore[method-assign]
+
+
+def trust_none() -> None:
+    """A forwarder refuses every plan."""
+    Follower.unsound = lambda self, plan, listed: "planted"  # type: ignore[method-assign]
+
+
+def amnesiac() -> None:
+    """A planner remembers nothing and, sure of itself all the same, publishes at once and in the highest term."""
+    snapshot.load = lambda folder, unix_ms, oldest_ms: None
+    Evidence.merge = lambda self, now_us, name, boot, report: True  # type: ignore[method-assign]
+    Planner.sound = lambda self, basis: True  # type: ignore[method-assign]
+    start = Leadership.__post_init__
+
+    def lead_at_once(self: Leadership) -> None:
+        start(self)
+        self.highest, self.leads = Term(10**6, self.name), True
+
+    Leadership.__post_init__ = lead_at_once  # type: ignore[method-assign]
+
+
+PLANNERS_PLANTS = frozenset(("amnesiac",))  # mistakes of a planner; all others are a sidecar's
 PLANTS: dict[str, Callable[[], None]] = {
     "twice": twice, "deaf": deaf, "hold": hold, "lose": lose, "blind": blind, "crowd": crowd,
     "no-advice": no_advice, "spin": spin, "late-start": late_start,
+    "trust-any": trust_any, "trust-none": trust_none, "amnesiac": amnesiac,
 }
 
 
@@ -143,6 +177,15 @@
     return [sys.executable, "-B", "-m", "ryepier.experiments.planted", plant]
 
 
+def main() -> int:
+    plant, *arguments = sys.argv[1:]
+    PLANTS[plant]()
+    if plant in PLANNERS_PLANTS or arguments:
+        # the command line lies above this floor, so it is started as a person would start it
+        sys.argv = ["ryepier", "planner" if plant in PLANNERS_PLANTS else "run", *arguments]
+        runpy.run_module("ryepier", run_name="__main__")
+    return sidecar.main()
+
+
 if __name__ == "__main__":
-    PLANTS[sys.argv[1]]()
-    sys.exit(sidecar.main())
+    sys.exit(main())
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -32,6 +32,9 @@
     def subscribe(self, active: bool) -> None:
         pass
 
+    def idents(self) -> dict[str, int]:
+        return {"c7": 7}
+
     def reload(self, config: Config) -> None:
         self.reloads.append(config.discovery)
 
--- /dev/null
+++ b/tests/test_plan.py
@@ -0,0 +1,371 @@
+"""Plans without sockets: what is merged, judged, led, kept, held sound and faded."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from glenkeel.balance import Balancer
+from glenkeel.interface import (
+    Advice,
+    Event,
+    ListKind,
+    Outcome,
+    PlanUpdated,
+    RequestArrived,
+    RequestClass,
+    Send,
+    Settings,
+    Upstream,
+    UpstreamsUpdated,
+)
+from ryepier.plan import snapshot
+from ryepier.plan.compute import Judged, Planner
+from ryepier.plan.follow import Follower, Rules
+from ryepier.plan.lead import SUSPECT_US, Leadership
+from ryepier.plan.merge import Evidence, Forwarder
+from ryepier.plan.messages import (
+    LONGEST,
+    VERSION,
+    Beat,
+    Entry,
+    Frames,
+    Hello,
+    Plan,
+    ProtocolError,
+    Report,
+    Seen,
+    Term,
+    encode,
+)
+from ryepier.plan.messages import Evidence as Basis
+from ryepier.plan.report import Reporter
+
+RULES = Rules(fleet=10)
+LISTED = {f"c{i}" for i in range(10)}
+S = 1_000_000
+
+
+def a_plan(epoch: int = 1, number: int = 1, forwarders: int = 10, planner: str = "a", covered: int = 10,
+           window_ms: int = 2000, entries: dict[str, Entry] | None = None) -> Plan:
+    return Plan(Term(epoch, planner), number, Basis(forwarders, window_ms, covered, 10, 99), entries or {}, 2000,
+                30_000)
+
+
+def resting(count: int) -> dict[str, Entry]:
+    return {f"c{i}": Entry(rests=True, trial=0.0) for i in range(count)}
+
+
+# The wire
+
+
+@given(st.binary(max_size=300), st.integers(1, 20))
+def test_bytes_of_any_kind_are_messages_or_a_protocol_error(data: bytes, piece: int) -> None:
+    frames = Frames()
+    try:
+        for at in range(0, len(data), piece):
+            frames.feed(data[at:at + piece])
+    except ProtocolError:
+        pass
+    good = encode(Beat(Term(3, "a"), True, 5))
+    assert Frames().feed(good + good[:5]) == [Beat(Term(3, "a"), True, 5)]
+
+
+def test_what_goes_past_the_limits_is_an_error_and_unknown_keys_are_not() -> None:
+    with pytest.raises(ProtocolError, match="bytes"):
+        Frames().feed((LONGEST + 1).to_bytes(4, "big"))
+    with pytest.raises(ProtocolError, match="version"):
+        Frames().feed(encode(Hello(VERSION + 1, "f", 1)))
+    with pytest.raises(ProtocolError):
+        Frames().feed(encode(msgspec.structs.replace(a_plan(), entries={"c": Entry(weight=2.0)})))
+    newer = msgspec.msgpack.encode({"type": "beat", "term": [1, "a"], "leads": True, "forwarders": 1, "mood": "good"})
+    assert Frames().feed(len(newer).to_bytes(4, "big") + newer) == [Beat(Term(1, "a"), True, 1)]
+
+
+# Reports and their merge
+
+
+def test_a_report_holds_what_changed_and_silence_counts_before_the_attempt_ends() -> None:
+    reporter = Reporter([100], 1)
+    reporter.sent(0, "a", 1, 0)
+    reporter.sent(0, "b", 2, 0)
+    reporter.ended("b", 2, Outcome.OK, 50)
+    first = reporter.report(99, 2, Term(), 0)
+    assert first.seen == {"a": Seen(1), "b": Seen(1, 1, 0, 0, 50)} and first.outstanding == {"a": 1}
+    assert reporter.report(100, 2, Term(), 0).seen == {"a": Seen(1, bad=1)}
+    reporter.ended("a", 1, Outcome.TIMEOUT, 900)  # counted already
+    assert reporter.report(200, 2, Term(), 0).seen == {"a": Seen(1, bad=1)}
+    reporter.keep({"b"})
+    assert reporter.report(300, 1, Term(), 0, whole=True).seen == {"b": Seen(1, 1, 0, 0, 50)}
+
+
+def growing(counts: list[int]) -> list[Report]:
+    total, reports = 0, []
+    for number, count in enumerate(counts, 1):
+        total += count
+        reports.append(Report(number, 10, {"c": Seen(total, total), f"d{number % 3}": Seen(number)}, {}, [], 0))
+    return reports
+
+
+@given(st.lists(st.integers(0, 9), min_size=1, max_size=8), st.data())
+def test_neither_order_nor_repetition_of_reports_changes_what_is_merged(counts: list[int], data: Any) -> None:
+    reports = growing(counts)
+    straight, mixed = Evidence(0), Evidence(0)
+    for report in reports:
+        straight.merge(0, "f", 1, report)
+    for report in data.draw(st.permutations(reports + reports)):
+        mixed.merge(0, "f", 1, report)
+    assert straight.totals() == mixed.totals()
+
+
+def test_an_earlier_life_of_a_forwarder_is_not_counted_and_a_new_one_begins_anew() -> None:
+    evidence = Evidence(0)
+    first, second = growing([5, 5])
+    assert evidence.merge(0, "f", 7, first) and evidence.merge(1, "f", 7, second)
+    assert evidence.forwarders["f"].cells["c"].recent.served == pytest.approx(5, rel=0.01)  # the first is no news
+    assert not evidence.merge(2, "f", 6, second)
+    assert evidence.merge(3, "f", 8, first) and evidence.totals()["f"]["c"] == Seen(5, 5)
+
+
+# Judging
+
+
+def saw(evidence: Evidence, now_us: int, name: str, **cells: tuple[int, int]) -> None:
+    """A forwarder's next report: by converter, how much more was served and was bad."""
+    known = evidence.forwarders.get(name)
+    if known is None:
+        evidence.merge(now_us, name, 1, Report(1, 10, {}, {}, [], 0))
+        known = evidence.forwarders[name]
+    seen = {}
+    for uid, (served, bad) in cells.items():
+        old = known.cells[uid].seen if uid in known.cells else Seen()
+        seen[uid] = Seen(old.sends + served + bad, old.served + served, old.bad + bad, 0,
+                         old.answer_us + served * 30_000)
+    evidence.merge(now_us, name, 1, Report(known.number + 1, 10, seen, {}, [], 0))
+
+
+def well(evidence: Evidence, now_us: int, but: dict[str, tuple[int, int]], names: int = 10) -> None:
+    """All forwarders see all converters as well, but for these."""
+    for index in range(names):
+        saw(evidence, now_us, f"f{index}", **(dict.fromkeys(LISTED, (3, 0)) | but))
+
+
+def plan_at(planner: Planner, evidence: Evidence, now_us: int) -> Plan:
+    plan = planner.plan(now_us, evidence, Term(1, "a"), 1)
+    assert plan is not None
+    return plan
+
+
+def test_a_planner_that_knows_too_little_says_nothing() -> None:
+    planner, evidence = Planner(RULES, []), Evidence(0)
+    assert planner.plan(5 * S, evidence, Term(1, "a"), 1) is None
+    well(evidence, 0, {}, names=4)
+    assert planner.plan(2 * S, evidence, Term(1, "a"), 1) is None  # fewer than half of the fleet
+    well(evidence, S, {}, names=6)
+    assert planner.plan(S - 1, evidence, Term(1, "a"), 1) is None  # for too short a time
+    assert plan_at(planner, evidence, S).entries == {}
+
+
+def test_a_bad_converter_rests_is_tried_and_comes_back_by_steps() -> None:
+    planner, evidence = Planner(RULES, []), Evidence(0)
+    well(evidence, 2 * S, {"c3": (0, 2)})
+    [(uid, entry)] = plan_at(planner, evidence, 2 * S).entries.items()
+    assert uid == "c3" and entry.rests and entry.trial == 0.2 and "seen by 10 of 10" in entry.why
+    at_us, found = 2 * S, []
+    for _ in range(40):
+        at_us += S // 2
+        saw(evidence, at_us, "f0", c3=(2, 0))
+        well(evidence, at_us, {"c3": (0, 0)})
+        entry = plan_at(planner, evidence, at_us).entries.get("c3", Entry())
+        found.append("rests" if entry.rests else entry.weight)
+    assert list(dict.fromkeys(found)) == ["rests", 0.25, 0.5, 1.0]
+
+
+def test_one_forwarder_for_whom_all_is_bad_is_not_heard() -> None:
+    planner, evidence = Planner(RULES, []), Evidence(0)
+    well(evidence, 2 * S, {})
+    saw(evidence, 2 * S, "f0", **dict.fromkeys(LISTED, (0, 50)))
+    assert plan_at(planner, evidence, 2 * S).entries == {} and planner.liars == {"f0"}
+
+
+def test_where_much_of_the_fleet_is_bad_none_rests() -> None:
+    planner, evidence = Planner(RULES, []), Evidence(0)
+    well(evidence, 2 * S, {f"c{i}": (0, 3) for i in range(5)})
+    assert plan_at(planner, evidence, 2 * S).entries == {} and planner.fleet_trouble
+
+
+def test_what_planners_make_of_any_evidence_is_sound_to_forwarders() -> None:
+    @given(st.lists(st.dictionaries(st.sampled_from(sorted(LISTED)), st.tuples(st.integers(0, 9), st.integers(0, 9))),
+                    min_size=5, max_size=10))
+    def check(views: list[dict[str, tuple[int, int]]]) -> None:
+        planner, evidence = Planner(RULES, [0.5, 0.5]), Evidence(0)
+        for index, cells in enumerate(views):
+            saw(evidence, 2 * S, f"f{index}", **cells)
+        plan = planner.plan(2 * S, evidence, Term(1, "a"), 1)
+        if plan is not None:
+            [came] = Frames().feed(encode(plan))
+            assert isinstance(came, Plan) and Follower("f", RULES).offer(0, came, LISTED) == ""
+
+    check()
+
+
+# Following
+
+
+@pytest.mark.parametrize(("plan", "why"), [
+    (a_plan(forwarders=4), "too few forwarders"),
+    (a_plan(forwarders=0, covered=0, window_ms=0), "too few forwarders"),  # built from nothing
+    (a_plan(window_ms=999), "evidence of too short a time"),
+    (a_plan(covered=4), "too few converters seen"),
+    (a_plan(entries=resting(5)), "too many converters at rest"),
+    (a_plan(entries=dict.fromkeys(LISTED, Entry(weight=0.0))), "too little weight"),
+    (a_plan(epoch=0), "no term"),
+    (a_plan(planner=""), "no term"),
+])
+def test_an_unsound_plan_is_refused_and_the_last_sound_one_stays(plan: Plan, why: str) -> None:
+    follower = Follower("f", RULES)
+    assert follower.offer(0, a_plan(entries=resting(1)), LISTED) == ""
+    newer = msgspec.structs.replace(plan, term=Term(plan.term.epoch * 5, plan.term.planner))
+    assert follower.offer(1, newer, LISTED).startswith(why if plan.term.epoch else "an older term")
+    assert follower.plan is not None and list(follower.plan.entries) == ["c0"]
+
+
+def test_terms_only_go_up_and_numbers_within_them() -> None:
+    follower = Follower("f", RULES)
+    order = [(2, "a", 5, ""), (2, "a", 5, "not newer"), (2, "a", 4, "not newer"), (1, "b", 9, "an older term"),
+             (2, "b", 1, ""), (2, "a", 99, "an older term"), (3, "a", 1, "")]
+    for epoch, planner, number, expected in order:
+        assert follower.offer(0, a_plan(epoch, number, planner=planner), LISTED) == expected
+
+
+def test_a_plan_fades_to_nothing_and_forwarders_leave_a_rest_one_after_another() -> None:
+    followers = [Follower(f"f{i}", Rules(fleet=1)) for i in range(200)]
+    plan = a_plan(entries={"c1": Entry(rests=True, trial=0.0), "c2": Entry(weight=0.5, cap=2)})
+    idents = {uid: int(uid[1:]) for uid in LISTED}
+    left, weights = [], []
+    for follower in followers:
+        assert follower.offer(0, plan, LISTED) == ""
+    for second in range(0, 45, 2):
+        advice = [{one.upstream: one for one in f.advice(second * S, idents)} for f in followers]
+        left.append(sum(not one.get(1, Advice(1)).rests for one in advice))
+        weights.append(sum(one.get(2, Advice(2)).weight for one in advice) / 200)
+    assert left[0] == left[1] == 0 and left[-1] == 200
+    assert max(b - a for a, b in zip(left, left[1:], strict=False)) < 40  # no step: never a fifth at once
+    assert weights == sorted(weights) and weights[0] == 0.5 and weights[-1] == 1.0
+
+
+def test_a_few_forwarders_at_a_time_try_what_rests_and_in_the_end_all_had_their_turn() -> None:
+    tried: set[str] = set()
+    for number in range(1, 400):
+        plan = a_plan(number=number, entries={"c1": Entry(rests=True, trial=0.1)})
+        names = {f"f{i}" for i in range(50) if Follower(f"f{i}", RULES).tries("c1", plan, 0.1)}
+        assert len(names) < 20
+        tried |= names
+    assert len(tried) == 50
+
+
+def test_a_plan_brings_in_nobody_that_discovery_has_not_named() -> None:
+    follower = Follower("f", RULES)
+    assert follower.offer(0, a_plan(entries={"c99": Entry(weight=0.5), "c1": Entry(weight=0.5)}), LISTED) == ""
+    assert [one.upstream for one in follower.advice(0, {"c1": 4})] == [4]
+
+
+# The module
+
+
+def balancer(count: int) -> Balancer:
+    settings = Settings(classes=[RequestClass("read", aim_us=S, deadline_us=10 * S)], max_attempts=2)
+    made = Balancer(settings, seed=3, now_us=1)
+    made.handle(1, UpstreamsUpdated(ListKind.FULL, [Upstream(i) for i in range(count)]))
+    return made
+
+
+def sends(made: Balancer, count: int, before: Event) -> list[int]:
+    made.handle(2, before)
+    actions = [a for i in range(count) for a in made.handle(3 + i, RequestArrived(i, due_us=10 * S))]
+    return [action.upstream for action in actions if isinstance(action, Send)]
+
+
+def test_the_module_keeps_off_what_rests_by_plan_unless_the_plan_rests_too_many() -> None:
+    assert set(sends(balancer(4), 3, PlanUpdated([Advice(0, rests=True)]))) == {1, 2, 3}
+    assert set(sends(balancer(4), 4, PlanUpdated([Advice(i, rests=True) for i in range(3)]))) == {0, 1, 2, 3}
+    assert sends(balancer(2), 2, PlanUpdated([Advice(9)])) != []
+
+
+def test_advice_does_not_outlive_the_next_plan_nor_bring_back_what_has_left() -> None:
+    made = balancer(2)
+    made.handle(2, PlanUpdated([Advice(0, rests=True)]))
+    made.handle(3, UpstreamsUpdated(ListKind.FULL, [Upstream(1)]))
+    made.handle(4, PlanUpdated([Advice(0, weight=1.0)]))
+    assert set(sends(made, 1, PlanUpdated([Advice(0)]))) == {1}
+
+
+# Leading
+
+
+def witnesses(term: Term, taken_us: int, count: int = 10) -> dict[str, Forwarder]:
+    return {f"f{i}": Forwarder(1, 0, taken_us, 1, term=term, plan_taken_us=taken_us) for i in range(count)}
+
+
+def test_forwarders_that_have_no_plan_are_no_witnesses_of_a_leader() -> None:
+    first = Leadership("a", 0, 0)
+    assert first.tick(SUSPECT_US, witnesses(Term(), SUSPECT_US), sound=True)
+
+
+def test_the_first_takes_over_and_the_second_waits_for_its_turn() -> None:
+    first, second = Leadership("a", 0, 0), Leadership("b", 1, 0)
+    assert not first.tick(SUSPECT_US, {}, sound=False)  # it has nothing to say
+    assert first.tick(SUSPECT_US, {}, sound=True) and first.term == Term(1, "a")
+    assert not second.tick(SUSPECT_US, {}, sound=True)
+    second.beat(SUSPECT_US, Beat(first.highest, True, 10))
+    assert not second.tick(2 * SUSPECT_US, {}, sound=True)
+    assert second.tick(3 * SUSPECT_US, {}, sound=True) and second.term == Term(2, "b")
+
+
+def test_a_cut_between_planners_changes_nothing_while_forwarders_hear_the_leader() -> None:
+    second = Leadership("b", 1, 0)
+    for at_us in range(0, 60 * S, S // 4):
+        assert not second.tick(at_us, witnesses(Term(1, "a"), at_us), sound=True)
+    assert not second.tick(60 * S - S // 4 + 2 * SUSPECT_US - 1, witnesses(Term(1, "a"), 59 * S), sound=True)
+    assert second.tick(60 * S + 4 * SUSPECT_US, witnesses(Term(1, "a"), 59 * S), sound=True)
+
+
+def test_of_two_leaders_the_lesser_steps_down_when_a_forwarder_tells_of_the_greater() -> None:
+    lesser = Leadership("a", 0, 0)
+    assert lesser.tick(SUSPECT_US, {}, sound=True)
+    assert not lesser.tick(SUSPECT_US + 1, witnesses(Term(1, "b"), SUSPECT_US), sound=True)
+    assert lesser.highest == Term(1, "b")
+
+
+# Snapshots
+
+
+def test_a_snapshot_comes_back_whole_or_not_at_all(tmp_path: Path) -> None:
+    kept = snapshot.keep(5 * S, 1000, Term(4, "a"), {"c1": Judged("rests", 3 * S), "c2": Judged("returns", 4 * S, 1)})
+    snapshot.save(tmp_path, kept)
+    got = snapshot.load(tmp_path, 2000, 60_000)
+    assert got == kept and got is not None
+    assert got.revive(100 * S) == {"c1": Judged("rests", 98 * S), "c2": Judged("returns", 99 * S, 1)}
+    whole = (tmp_path / snapshot.NAME).read_bytes()
+    for cut in range(len(whole)):
+        with pytest.raises(snapshot.SnapshotError):
+            snapshot.decode(whole[:cut], 2000, 60_000)
+    with pytest.raises(snapshot.SnapshotError, match="altered"):
+        snapshot.decode(whole[:-1] + bytes([whole[-1] ^ 1]), 2000, 60_000)
+    for unix_ms in (62_000, 0):  # too old, or from a time to come
+        with pytest.raises(snapshot.SnapshotError, match="old"):
+            snapshot.load(tmp_path, unix_ms, 60_000)
+    assert snapshot.load(tmp_path / "none", 0, 0) is None
+
+
+def test_the_rules_that_planners_keep_to_are_the_forwarders_own() -> None:
+    strict = dataclasses.replace(RULES, most_resting=0.0)
+    planner, evidence = Planner(strict, []), Evidence(0)
+    well(evidence, 2 * S, {"c3": (0, 2)})
+    assert plan_at(planner, evidence, 2 * S).entries == {}
--- /dev/null
+++ b/tests/test_planners.py
@@ -0,0 +1,160 @@
+"""Planners and forwarders over sockets: plans arrive, hanging and dead planners are left, bad peers are refused."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from glenkeel.interface import Outcome, PlanUpdated
+from ryepier.plan import forwarder, planner
+from ryepier.plan.follow import Rules
+from ryepier.plan.messages import LONGEST, VERSION, Frames, Hello, Message, Refusal, Report, encode
+from tests.net import PATIENCE_S, free_port, until
+
+RULES = Rules(fleet=2, least_window_ms=100)
+IDENTS = {f"c{i}": i for i in range(6)}
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(3 * PATIENCE_S):
+            await test()
+
+    asyncio.run(limited())
+
+
+@asynccontextmanager
+async def a_planner(port: int, name: str = "a", peers: dict[str, int] | None = None,
+                    most: int = 10) -> AsyncIterator[planner.Server]:
+    others = {peer: ("127.0.0.1", at) for peer, at in (peers or {}).items()}
+    server = planner.Server(planner.Settings(name, ("127.0.0.1", port), others, RULES, [], most))
+    stop = asyncio.Event()
+    task = asyncio.create_task(server.run(stop))
+    try:
+        yield server
+    finally:
+        stop.set()
+        await task
+
+
+class Sidecar:
+    """A forwarder that sends to six converters, of which one never answers."""
+
+    def __init__(self, name: str, *ports: int) -> None:
+        self.plans: list[PlanUpdated] = []
+        self.forwarder = forwarder.Forwarder(
+            forwarder.Settings(name, [("127.0.0.1", port) for port in ports], RULES, report_s=0.1),
+            forwarder.Sidecar(lambda: IDENTS, self.plans.append, [50_000], 1))
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self.forwarder.start()
+        self.task = asyncio.create_task(self.send())
+
+    async def send(self) -> None:
+        token = 0
+        while True:
+            for ident in IDENTS.values():
+                token += 1
+                self.forwarder.sent(ident, token, 0)
+                if ident != 3:
+                    self.forwarder.ended(ident, token, Outcome.OK, 20_000)
+            await asyncio.sleep(0.05)
+
+    def stop(self) -> None:
+        self.forwarder.stop()
+        if self.task is not None:
+            self.task.cancel()
+
+    def rests(self) -> set[int]:
+        return {one.upstream for one in self.plans[-1].advice if one.rests} if self.plans else set()
+
+
+@asynccontextmanager
+async def sidecars(*ports: int) -> AsyncIterator[list[Sidecar]]:
+    made = [Sidecar(f"f{i}", *ports) for i in range(6)]
+    for one in made:
+        one.start()
+    try:
+        yield made
+    finally:
+        for one in made:
+            one.stop()
+
+
+def test_what_forwarders_see_rests_at_all_of_them_and_the_peer_goes_on_when_the_leader_is_gone() -> None:
+    async def test() -> None:
+        ports = [free_port(), free_port()]
+        async with a_planner(ports[1], "b", {"a": ports[0]}) as second:
+            async with a_planner(ports[0], "a", {"b": ports[1]}), sidecars(*ports) as made:
+                await until(lambda: sum(one.rests() == {3} for one in made) >= 3)  # the others try it at their turn
+                assert all(one.forwarder.follower.term.planner == "a" for one in made)
+                assert not second.leadership.leads
+            async with sidecars(*ports) as made:
+                await until(lambda: all(one.forwarder.follower.term.planner == "b" for one in made))
+                assert second.leadership.highest.epoch >= 2
+
+    run(test)
+
+
+def test_a_planner_that_hangs_is_left_and_reports_do_not_pile_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(forwarder, "SILENT_S", 0.2)
+
+    async def test() -> None:
+        calls = 0
+
+        async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal calls
+            calls += 1
+            await asyncio.sleep(PATIENCE_S)
+
+        server = await asyncio.start_server(hang, "127.0.0.1", 0)
+        one = Sidecar("f", server.sockets[0].getsockname()[1])
+        one.start()
+        await until(lambda: calls >= 3)
+        assert len(one.forwarder.links) <= 1 and one.plans == []
+        one.stop()
+        server.close()
+
+    run(test)
+
+
+async def answers(port: int, data: bytes) -> list[Message]:
+    """What a planner says to these bytes before it closes."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    async with asyncio.timeout(PATIENCE_S):
+        said = Frames().feed(await reader.read())
+    writer.close()
+    return said
+
+
+@pytest.mark.parametrize("data", [
+    b"GET / HTTP/1.1\r\n\r\n", (LONGEST + 1).to_bytes(4, "big"), encode(Hello(VERSION + 1, "f", 1)),
+    encode(Report(1, 1, {}, {}, [], 0)), encode(Hello(VERSION, "f", 1)) * 2, b"\x00\x00\x00\x01\xc1",
+])
+def test_peers_that_make_no_sense_get_a_refusal_and_the_planner_goes_on(data: bytes) -> None:
+    async def test() -> None:
+        port = free_port()
+        async with a_planner(port) as server:
+            await until(lambda: server.counts is not None)
+            await asyncio.sleep(0.05)
+            said = [message for message in await answers(port, data) if isinstance(message, Refusal)]
+            assert len(said) == 1 and said[0].why
+            await until(lambda: not server.links)
+
+    run(test)
+
+
+def test_one_forwarder_too_many_is_told_when_to_come_back() -> None:
+    async def test() -> None:
+        port = free_port()
+        async with a_planner(port, most=0):
+            await asyncio.sleep(0.05)
+            said = await answers(port, encode(Hello(VERSION, "f", 1)))
+            assert [message.retry_ms for message in said if isinstance(message, Refusal)] == [planner.BUSY_RETRY_MS]
+
+    run(test)
