--- a/ryepier/emulator/rig.py
+++ b/ryepier/emulator/rig.py
@@ -223,7 +223,7 @@
         addresses = [":".join(map(str, self.plan.planner_address(index))) for index in range(planners.count)]
         trust = f"[trust]\nfleet = {fleet}\n"
         (self.folder / OPERATORS).write_text(
-            f"[logging]\nformat = \"json\"\n[plan]\nplanners = {json.dumps(addresses)}\n"
+            f"[logging]\nformat = \"json\"\nlines_per_s = 200\n[plan]\nplanners = {json.dumps(addresses)}\n"
             f"report_ms = {planners.report_ms}\n{trust}")
         for index in range(planners.count):
             snapshots = self.folder / f"planner-{index}"
--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -10,8 +10,8 @@
 from ryepier.emulator import draws, timeline
 from ryepier.emulator.timeline import Verb, Who
 from ryepier.emulator.world import Fault, World
-from ryepier.experiments import figures, planning
-from ryepier.experiments.contract import Claim, Experiment, Run, Scale
+from ryepier.experiments import figures, planner_scale, planning
+from ryepier.experiments.contract import Claim, Experiment, Measured, Run, Scale
 from ryepier.experiments.worlds import load
 
 FULL_FLEET = 3  # `full` has so many times the converters, sidecars and traffic of `small`
@@ -212,3 +212,4 @@
                ("invented", "forged", "run-twice"), cores=4),
     *planning.EXPERIMENTS,
 )}
+MEASURED: dict[str, Measured] = {one.name: one for one in planner_scale.EXPERIMENTS}
--- a/ryepier/experiments/planning.py
+++ b/ryepier/experiments/planning.py
@@ -5,6 +5,7 @@
 import json
 from collections import Counter
 from collections.abc import Mapping
+from datetime import datetime
 from pathlib import Path
 
 import msgspec
@@ -121,6 +122,35 @@
     ]
 
 
+# planner-restart: both planners die and come back at once, with their snapshots, while converters hang
+
+
+def sound_again_s(run: Run) -> float:
+    """Seconds from a planner's coming up again to its first plans: the least over the planners; infinite for never."""
+    least = float("inf")
+    for path in sorted(run.folder.glob("planner-*.log")):
+        up: datetime | None = None
+        lives = 0
+        for line in log_lines(run.folder, path.name):
+            text, at = str(line["message"]), datetime.fromisoformat(str(line["time"]))
+            if text.endswith("is up"):
+                up, lives = at, lives + 1
+            elif text.startswith("leads") and lives > 1 and up is not None:
+                least = min(least, (at - up).total_seconds())
+    return least
+
+
+def _restart_claims(run: Run) -> list[Claim]:
+    kill = _fault(run, "planner-kill")
+    begin_s, end_s = kill.at_s + kill.down_s, run.world.duration_s - 1.0
+    hung, whole = figures.attempts_between(run.history.attempts, struck_uids(run, ("hang",)), begin_s, end_s)
+    return [
+        Claim("time to sound plans after the restart (s)", sound_again_s(run), "<=", 2.0),
+        Claim("share of attempts to hung converters from the restart on", hung / max(1, whole), "<=", 0.02),
+        Claim("forwarders that followed again", _files_with(run, "epoch 2"), "==", run.world.sidecars.count),
+    ]
+
+
 # planner-gain: a sixth of the converters hangs; the same world and seed with and without planners
 
 
@@ -174,6 +204,8 @@
                lambda scale: load("planner-kill"), _kill_claims, ("lose",)),
     Experiment("planner-empty", "planners come back with nothing in mind while converters hang",
                lambda scale: load("planner-empty"), _empty_claims, ("trust-any",), planner_restart="amnesiac"),
+    Experiment("planner-restart", "both planners die and come back with their snapshots while converters hang",
+               lambda scale: load("planner-restart"), _restart_claims, ("trust-none",)),
     Experiment("planner-gain", "a sixth of the converters hangs, with planners and without",
                lambda scale: load("planner-gain"), _gain_claims, ("trust-none",), _gain_figures,
                paired=without_planners),
--- a/ryepier/plan/forwarder.py
+++ b/ryepier/plan/forwarder.py
@@ -14,7 +14,19 @@
 
 from glenkeel.interface import Outcome, PlanUpdated
 from ryepier.plan.follow import Follower, Rules
-from ryepier.plan.messages import VERSION, Beat, Frames, Hello, Message, Plan, ProtocolError, Refusal, Report, encode
+from ryepier.plan.messages import (
+    VERSION,
+    Beat,
+    Frames,
+    Hello,
+    Message,
+    Plan,
+    ProtocolError,
+    Refusal,
+    Report,
+    Term,
+    encode,
+)
 from ryepier.plan.report import Reporter
 
 log = logging.getLogger(__name__)
@@ -123,6 +135,7 @@
         self.told = PlanUpdated()
         self.names: dict[int, str] = {}
         self.refused_logged = ""
+        self.followed = Term()  # as logged
 
     # What the host observes
 
@@ -214,12 +227,12 @@
 
     def offer(self, plan: Plan) -> None:
         why = self.follower.offer(clock_us(), plan, set(self.sidecar.idents()))
-        if why != self.refused_logged:
-            self.refused_logged = why
-            if why:
-                log.warning("a plan of %s, epoch %d, is refused: %s", plan.term.planner, plan.term.epoch, why)
-            else:
-                log.info("follows the plans of %s, epoch %d", plan.term.planner, plan.term.epoch)
+        if why and why != self.refused_logged:
+            log.warning("a plan of %s, epoch %d, is refused: %s", plan.term.planner, plan.term.epoch, why)
+        elif not why and plan.term != self.followed:
+            self.followed = plan.term
+            log.info("follows the plans of %s, epoch %d", plan.term.planner, plan.term.epoch)
+        self.refused_logged = why
         if not why:
             self.tell_module()
 
--- a/ryepier/plan/planner.py
+++ b/ryepier/plan/planner.py
@@ -169,6 +169,7 @@
         """Serve until told to stop. Raises OSError where the address can't be had."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(lambda: Link(self), *self.settings.listen, backlog=1024)
+        log.info("planner %s is up", self.settings.name)
         tasks = [loop.create_task(self.keep_peer(name, address)) for name, address in self.settings.peers.items()]
         tasks.append(loop.create_task(self.work()))
         await stop.wait()
