Log a planner's step down between ticks; show plans from the command line in a test

Cause: a leader that stepped down on a beat was a follower by the next tick, so neither the log nor the plan kept for new forwarders was told; the experiment planner-hang found it.

--- a/ryepier/experiments/planning.py
+++ b/ryepier/experiments/planning.py
@@ -105,6 +105,27 @@
     ]
 
 
+# planner-hang: the one that leads stalls, its connections open, and goes on later
+
+
+def _hang_claims(run: Run) -> list[Claim]:
+    fault = _fault(run, "planner-hang")
+    resumed_s = fault.at_s + fault.for_s
+    steps_down = _logs_with(run, "planner-0.log", "follows, epoch")
+    back = _files_with(run, "follows the plans of planner-0, epoch 1")
+    forth = _files_with(run, "follows the plans of planner-1, epoch 2")
+    lines = _logs_with(run, "sidecar-*.log", "follows the plans")
+    return [
+        Claim("forwarders that went over to the other planner", forth, "==", run.world.sidecars.count),
+        Claim("changes of planner, over two a forwarder", len(lines) - back - forth, "==", 0),
+        Claim("the planner that hung stepped down", len(steps_down), ">=", 1),
+        Claim("service from the stall on", figures.service(run.orders, figures.between(
+            fault.at_s, run.world.duration_s)), ">=", 0.97),
+        Claim("service once it is back", figures.service(run.orders, figures.between(
+            resumed_s, run.world.duration_s)), ">=", 0.97),
+    ]
+
+
 # planner-empty: both planners die and come back with nothing in mind, while converters hang
 
 
@@ -202,6 +223,8 @@
                _loss_claims, ("deaf",)),
     Experiment("planner-kill", "the planner that leads is killed in a surge of 2.3 times",
                lambda scale: load("planner-kill"), _kill_claims, ("lose",)),
+    Experiment("planner-hang", "the planner that leads stalls for 5 s with its connections open",
+               lambda scale: load("planner-hang"), _hang_claims, ("trust-none",)),
     Experiment("planner-empty", "planners come back with nothing in mind while converters hang",
                lambda scale: load("planner-empty"), _empty_claims, ("trust-any",), planner_restart="amnesiac"),
     Experiment("planner-restart", "both planners die and come back with their snapshots while converters hang",
--- a/ryepier/plan/planner.py
+++ b/ryepier/plan/planner.py
@@ -144,6 +144,7 @@
         names = sorted([settings.name, *settings.peers])
         self.leadership = Leadership(settings.name, names.index(settings.name), now_us)
         self.links: set[Link] = set()
+        self.led = False  # at the last tick
         self.number = 0
         self.last_plan: bytes | None = None
         self.counts: Counter[str] = Counter()
@@ -207,9 +208,9 @@
     def tick(self, now_us: int, tick: int) -> None:
         """Beat, lead or follow, plan, save."""
         heard = self.evidence.heard(now_us)
-        led = self.leadership.leads
         leads = self.leadership.tick(now_us, heard, self.planner.sound(self.planner.basis(now_us, self.evidence)))
-        if leads != led:
+        if leads != self.led:  # it may have stepped down between two ticks, on a beat
+            self.led = leads
             log.info("%s, epoch %d", "leads" if leads else "follows", self.leadership.highest.epoch)
             self.number, self.last_plan = 0, None
         beat = encode(Beat(self.leadership.highest, leads, len(heard)))
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -244,6 +244,17 @@
         assert follower.offer(0, a_plan(epoch, number, planner=planner), LISTED) == expected
 
 
+@given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from("ab"), st.integers(0, 4), st.integers(0, 10)),
+                max_size=30))
+def test_whatever_plans_come_those_followed_only_go_up(offers: list[tuple[int, str, int, int]]) -> None:
+    follower, followed = Follower("f", RULES), []
+    for epoch, planner, number, forwarders in offers:
+        if not follower.offer(0, a_plan(epoch, number, forwarders, planner), LISTED):
+            followed.append((epoch, planner, number))
+            assert forwarders >= 5
+    assert all(one < other for one, other in zip(followed, followed[1:], strict=False))
+
+
 def test_a_plan_fades_to_nothing_and_forwarders_leave_a_rest_one_after_another() -> None:
     followers = [Follower(f"f{i}", Rules(fleet=1)) for i in range(200)]
     plan = a_plan(entries={"c1": Entry(rests=True, trial=0.0), "c2": Entry(weight=0.5, cap=2)})
--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -85,6 +87,15 @@
             one.stop()
 
 
+async def command(*arguments: str) -> str:
+    """What `ryepier` prints, run as a person would."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "ryepier", *arguments, stdout=asyncio.subprocess.PIPE)
+    said, _ = await process.communicate()
+    assert process.returncode == 0
+    return said.decode()
+
+
 def test_what_forwarders_see_rests_at_all_of_them_and_the_peer_goes_on_when_the_leader_is_gone() -> None:
     async def test() -> None:
         ports = [free_port(), free_port()]
@@ -92,6 +103,9 @@
             async with a_planner(ports[0], "a", {"b": ports[1]}), sidecars(*ports) as made:
                 await until(lambda: sum(one.rests() == {3} for one in made) >= 3)  # the others try it at their turn
                 assert all(one.forwarder.follower.term.planner == "a" for one in made)
+                assert "c3: rests" in await command("plan", "explain", "c3", f"127.0.0.1:{ports[0]}")
+                shown = json.loads(await command("plan", "show", f"127.0.0.1:{ports[0]}", "--json"))
+                assert list(shown["entries"]) == ["c3"] and shown["term"][1] == "a"
                 assert not second.leadership.leads
             async with sidecars(*ports) as made:
                 await until(lambda: all(one.forwarder.follower.term.planner == "b" for one in made))
