Judge slow converters by their median, limit classes over all forwarders, add planner-liar

Need: by a mean a few heavy requests make a converter slow; nobody knew a class's rate over all sidecars; a forwarder that lies was shown in a unit test only.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -136,6 +136,8 @@
         self.next_log_us = now_us
         self.wakeups: list[tuple[int, str, int, int]] = []  # (when, what, request, attempt); a heap
         self.planned_rests = False  # whether the plan's rests are kept
+        self.class_admit: list[float] = []  # as planned; empty = all are let in
+        self.class_credit = [0.0 for _ in settings.classes]  # part of an arrival let in that has not come
         self.tenant_worth: list[float] = []  # as planned; empty = judged by what is seen here
         self.armed_us = self.list_failures = 0  # armed: the next timer already asked for; 0 = none
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
@@ -171,12 +173,23 @@
         if event.tenant < len(self.tenant_seen):
             self.tenant_seen = [seen * (1.0 - 1.0 / TENANT_MEMORY) for seen in self.tenant_seen]
             self.tenant_seen[event.tenant] += 1.0
-        self.place(request)
+        if self.admits(event.class_index):
+            self.place(request)
+        else:
+            self.finish(request)
         self.unsent += (float(not request.attempts) - self.unsent) / TENANT_MEMORY
         over = self.unsent > (0.02 if self.overloaded else 0.2)
         if over != self.overloaded and self.log("overload begins" if over else "overload ends"):
             self.overloaded = over
 
+    def admits(self, class_index: int) -> bool:
+        """Whether a class's limit over all sidecars, as planned, lets this one in: evenly, not by chance."""
+        if class_index >= len(self.class_admit):
+            return True
+        credit = self.class_credit[class_index] + self.class_admit[class_index]
+        self.class_credit[class_index] = credit - float(credit >= 1.0)
+        return credit >= 1.0
+
     def log(self, text: str) -> bool:
         if self.now_us < self.next_log_us:
             return False  # the change is told later, if it lasts
@@ -571,6 +584,7 @@
         for ident, server in self.servers.items():
             server.advice = advice.get(ident) or api.Advice(ident)
         self.tenant_worth = event.tenant_worth
+        self.class_admit = event.class_admit
         self.count_planned()
 
     def count_planned(self) -> None:
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -229,6 +229,7 @@
 
     advice: list[Advice] = field(default_factory=list)
     tenant_worth: list[float] = field(default_factory=list)  # by tenant: 1 = within its share over all sidecars
+    class_admit: list[float] = field(default_factory=list)  # by class: the share of arrivals let in; empty = all
 
 
 Event = (UpstreamsUpdated | PlanUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted | ProbeEnded
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -102,7 +102,7 @@
 class Observer(Protocol):
     """Is told of what is sent and how it ends; it decides nothing, and must be quick."""
 
-    def arrived(self, tenant: int) -> None:
+    def arrived(self, tenant: int, class_index: int) -> None:
         """A request has been taken."""
 
     def refused(self) -> None:
@@ -188,7 +188,7 @@
         # hazard: whatever becomes of the module's own timers, no client is left without an answer
         request.timer = self._at(due_us + BACKSTOP_US, self._overdue, request)
         if self.observer is not None:
-            self.observer.arrived(call.tenant)
+            self.observer.arrived(call.tenant, call.class_index)
         self._tell(api.RequestArrived(request.ident, due_us, call.class_index, call.tenant, call.key,
                                       call.cost_us, call.retried))
         return request.ident
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -203,8 +203,9 @@
             self.pool.learn(self.idle_us, broke=outcome is Outcome.RESET and self.received == 0)
         result = Result(outcome)
         if outcome is Outcome.RESET and attempt is not None:
+            ident = attempt.ident.decode()
             log.info("request %s: upstream %d reset, idle for %d ms before, %d bytes received",
-                     attempt.ident.decode(), self.upstream, self.idle_us // 1000, self.received)
+                     ident, self.upstream, self.idle_us // 1000, self.received, extra={"request": ident})
         if outcome is Outcome.OK:
             result = Result(outcome, bytes(self.body), self.content_type)
         self.parser = None
--- a/ryepier/commands/demo.py
+++ b/ryepier/commands/demo.py
@@ -77,6 +77,8 @@
     except (RigError, OSError) as error:
         print(f"ryepier demo: {error}", file=sys.stderr)
         sys.exit(1)
+    for happening in report.happenings(folder):
+        print(f"{happening.at_us / 1e6:8.3f} s  {happening.text}", file=sys.stderr)
     for claim in claims:
         print(claim)
     print(f"report: {report.write(folder)}")
--- a/ryepier/commands/experiment.py
+++ b/ryepier/commands/experiment.py
@@ -57,6 +57,8 @@
         claims = _failing_clearly(lambda: contract.perform_measured(one, seed, size, folder, plant))
     else:
         claims = _failing_clearly(lambda: contract.perform(one, seed, size, folder, plant))
+        for happening in report.happenings(folder):
+            print(f"{happening.at_us / 1e6:8.3f} s  {happening.text}", file=sys.stderr)
         print(f"report: {report.write(folder)}", file=sys.stderr)
     if as_json:
         print(json.dumps([msgspec.to_builtins(claim) | {"holds": claim.holds} for claim in claims]))
--- a/ryepier/commands/planner.py
+++ b/ryepier/commands/planner.py
@@ -38,7 +38,7 @@
         sys.exit(2)
     settings = Settings(own.name, parse_address(own.listen),
                         {name: parse_address(text) for name, text in own.peers.items()}, trust_rules(operators),
-                        own.tenant_shares, own.most_forwarders, folder)
+                        own.tenant_shares, own.class_limits, own.most_forwarders, folder)
     try:
         asyncio.run(serve(settings))
     except OSError as error:
--- a/ryepier/conf/operators.py
+++ b/ryepier/conf/operators.py
@@ -52,6 +52,7 @@
     listen: Address = "127.0.0.1:7400"
     peers: dict[Name, Address] = msgspec.field(default_factory=dict)
     tenant_shares: list[Share] = msgspec.field(default_factory=list)  # in the order of the platform's accounts
+    class_limits: list[Annotated[float, msgspec.Meta(ge=0)]] = msgspec.field(default_factory=list)  # a second
     most_forwarders: Annotated[int, msgspec.Meta(ge=1, le=20_000)] = 2000
     snapshots: str = ""  # the folder; empty: none are kept
 
--- a/ryepier/emulator/rig.py
+++ b/ryepier/emulator/rig.py
@@ -12,7 +12,7 @@
 import subprocess
 import sys
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -116,6 +116,7 @@
 
     sidecar_command: Sequence[str] | None = None  # by default the sidecar or, with planners, the forwarder; empty:
     # their configurations are written, and others start them
+    odd_sidecars: Mapping[int, Sequence[str]] = field(default_factory=dict)  # some that are started otherwise
     planner_command: Sequence[str] = PLANNER
     planner_restart: Sequence[str] = PLANNER  # once it was killed
     clients: bool = True
@@ -135,9 +136,9 @@
         command = self.cast.sidecar_command
         if command is None:
             command = FORWARDER if forwards else SIDECAR
-        if command and forwards:
-            command = (*command, "--config", str(folder / OPERATORS))
-        self.sidecar_command = command
+        more = ("--config", str(folder / OPERATORS)) if forwards else ()
+        self.sidecar_command = (*command, *more) if command else ()
+        self.odd_sidecars = {index: (*odd, *more) for index, odd in self.cast.odd_sidecars.items()}
         self.planners: list[subprocess.Popen[bytes]] = []
         self.plan = Plan(world, seed, find_network(), role="rig", targets=list(self.cast.targets))
         self.timeline: Timeline = timeline.build(world, seed)
@@ -245,7 +246,8 @@
     def start_sidecar(self, sidecar: Sidecar) -> None:
         with open(sidecar.log, "ab") as log:
             environment = os.environ | {"BALANCER_CONFIG": str(sidecar.config)}
-            sidecar.process = subprocess.Popen(self.sidecar_command, env=environment, stdout=log, stderr=log)
+            command = self.odd_sidecars.get(sidecar.index, self.sidecar_command)
+            sidecar.process = subprocess.Popen(command, env=environment, stdout=log, stderr=log)
         sidecar.lives.append(Life(sidecar.index, monotonic_us(), -1))
 
     async def until_up(self, sidecar: Sidecar) -> None:
--- a/ryepier/experiments/contract.py
+++ b/ryepier/experiments/contract.py
@@ -8,7 +8,7 @@
 import platform
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from importlib import metadata
 from pathlib import Path
 from typing import Literal
@@ -81,6 +81,7 @@
     rules: Sequence[str] = tuple(judge.RULES)  # those that must hold in it
     measured_until: Callable[[Run], float] | None = None  # seconds that count; by default the whole run
     planner_restart: str = ""  # a planner that was killed comes back with this mistake
+    odd_sidecars: Mapping[int, str] = field(default_factory=dict)  # sidecars with a mistake of their own, by index
     paired: Callable[[World], World] | None = None  # played too, on the same seed, to compare with
     cores: int = 0  # run on so many only; 0 = all there are
 
@@ -112,13 +113,21 @@
     return Claim(f"the emulator's lateness (most in the first {until_s} s, ms)", worst_us / 1000, "<=", bound_ms)
 
 
+def make_cast(experiment: Experiment, plant: str) -> rig.Cast:
+    """Who plays, with the experiment's own mistakes and the planted one."""
+    cast = rig.Cast(odd_sidecars={index: planted.command(name) for index, name in experiment.odd_sidecars.items()})
+    if experiment.planner_restart:
+        cast = dataclasses.replace(cast, planner_restart=planted.command(experiment.planner_restart))
+    if plant in planted.PLANNERS_PLANTS:
+        return dataclasses.replace(cast, planner_command=planted.command(plant))
+    return dataclasses.replace(cast, sidecar_command=planted.command(plant)) if plant else cast
+
+
 def perform(experiment: Experiment, seed: int, scale: Scale, folder: Path, plant: str = "",
             watcher: rig.Watcher | None = None) -> list[Claim]:
     """Play it, judge it, and write all that came out into `folder`. Raises rig.RigError where the rig failed."""
     world = experiment.world(scale)
-    cast = rig.Cast(sidecar_command=planted.command(plant) if plant else None)
-    if experiment.planner_restart:
-        cast = dataclasses.replace(cast, planner_restart=planted.command(experiment.planner_restart))
+    cast = make_cast(experiment, plant)
     had = os.sched_getaffinity(0)
     if experiment.cores:
         os.sched_setaffinity(0, set(sorted(had)[:experiment.cores]))  # the run's processes inherit it
--- a/ryepier/experiments/planner_scale.py
+++ b/ryepier/experiments/planner_scale.py
@@ -46,8 +46,8 @@
         for uid, old in self.seen.items():
             count = int(self.random.poisson(2.0))
             self.seen[uid] = Seen(old.sends + count, old.served + count, old.bad, old.full,
-                                  old.answer_us + count * 30_000)
-        return encode(Report(self.number, CONVERTERS, self.seen, {}, [self.number * 10], 0))
+                                  (0, 0, 0, 0, 0, old.served + count))
+        return encode(Report(self.number, CONVERTERS, self.seen, {}, [self.number * 10], [self.number * 10], 0))
 
     async def run(self, address: tuple[str, int]) -> None:
         reader, writer = await asyncio.open_connection(*address)
--- a/ryepier/experiments/planning.py
+++ b/ryepier/experiments/planning.py
@@ -22,6 +22,7 @@
 AVOID_MOST = 1  # attempts in it: a trial
 AVOID_SHARE = 0.95  # of the forwarders
 FULL_LOSS_S = 60.0
+LIED_OF = 6  # one converter in so many, as in the planted liar
 
 
 def without_planners(world: World) -> World:
@@ -143,6 +144,22 @@
     ]
 
 
+# planner-liar: three forwarders tell tall tales of converters that are well
+
+LIARS = 3
+
+
+def _liar_claims(run: Run) -> list[Claim]:
+    counts = Counter(attempt.uid for attempt in run.history.attempts if attempt.last_us > 5e6)
+    usual = sum(counts.values()) / max(1, run.world.converter_count)
+    told_of = [counts[i.uid] for i in timeline.build(run.world, run.seed).instances if i.index % LIED_OF == 0]
+    return [
+        Claim("forwarders that follow a plan", _files_with(run, "follows the plans"), "==", run.world.sidecars.count),
+        Claim("least traffic of a converter lied about, over the usual", min(told_of) / max(1.0, usual), ">=", 0.5),
+        Claim("service", figures.service(run.orders), ">=", 0.98),
+    ]
+
+
 # planner-restart: both planners die and come back at once, with their snapshots, while converters hang
 
 
@@ -227,6 +244,9 @@
                lambda scale: load("planner-hang"), _hang_claims, ("trust-none",)),
     Experiment("planner-empty", "planners come back with nothing in mind while converters hang",
                lambda scale: load("planner-empty"), _empty_claims, ("trust-any",), planner_restart="amnesiac"),
+    Experiment("planner-liar", "three forwarders tell planners tall tales of converters that are well",
+               lambda scale: load("planner-liar"), _liar_claims, ("credulous",),
+               odd_sidecars=dict.fromkeys(range(LIARS), "liar")),
     Experiment("planner-restart", "both planners die and come back with their snapshots while converters hang",
                lambda scale: load("planner-restart"), _restart_claims, ("trust-none",)),
     Experiment("planner-gain", "a sixth of the converters hangs, with planners and without",
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from glenkeel import interface as api
 from glenkeel.balance import Balancer, Request, Server
 from plovertrail import __main__ as sidecar
@@ -23,12 +25,14 @@
 from ryepier.plan.follow import Follower
 from ryepier.plan.lead import Leadership
 from ryepier.plan.merge import Evidence
-from ryepier.plan.messages import Term
+from ryepier.plan.messages import Report, Term
+from ryepier.plan.report import Reporter
 
 EVERY_TWICE = 40  # requests; one of so many goes to a second converter too
 EVERY_LOST = 150  # answers; one of so many is never written
 SPIN_US = 400  # more than a request costs a sidecar that is well
 LATE_S = 5.0
+LIES = 1000
 HELD_BEFORE_US = 30_000  # a held refusal goes out so long before the client's time is out
 
 
@@ -150,6 +154,29 @@
     Follower.unsound = lambda self, plan, listed: "planted"  # type: ignore[method-assign]
 
 
+def liar() -> None:
+    """A forwarder tells planners that each request to some converters went badly a thousand times."""
+    report = Reporter.report
+
+    def tall_tale(self: Reporter, *arguments: Any, **more: Any) -> Report:
+        told = report(self, *arguments, **more)
+        lies = {uid: msgspec.structs.replace(seen, bad=seen.bad + LIES * seen.sends) if hash_of(uid) % 6 == 0 else seen
+                for uid, seen in told.seen.items()}
+        return msgspec.structs.replace(told, seen=lies)
+
+    Reporter.report = tall_tale  # type: ignore[method-assign]
+
+
+def hash_of(uid: str) -> int:
+    """The same for the same converter in all processes."""
+    return int(uid.rpartition("-")[2], 16)
+
+
+def credulous() -> None:
+    """A planner believes every forwarder."""
+    Planner._find_liars = lambda self, heard: set()  # type: ignore[method-assign]
+
+
 def amnesiac() -> None:
     """A planner remembers nothing and, sure of itself all the same, publishes at once and in the highest term."""
     snapshot.load = lambda folder, unix_ms, oldest_ms: None
@@ -164,11 +191,12 @@
     Leadership.__post_init__ = lead_at_once  # type: ignore[method-assign]
 
 
-PLANNERS_PLANTS = frozenset(("amnesiac",))  # mistakes of a planner; all others are a sidecar's
+PLANNERS_PLANTS = frozenset(("amnesiac", "credulous"))  # mistakes of a planner; all others are a sidecar's
 PLANTS: dict[str, Callable[[], None]] = {
     "twice": twice, "deaf": deaf, "hold": hold, "lose": lose, "blind": blind, "crowd": crowd,
     "no-advice": no_advice, "spin": spin, "late-start": late_start,
     "trust-any": trust_any, "trust-none": trust_none, "amnesiac": amnesiac,
+    "credulous": credulous, "liar": liar,
 }
 
 
--- a/ryepier/experiments/report.py
+++ b/ryepier/experiments/report.py
@@ -16,7 +16,7 @@
 from matplotlib.figure import Figure
 from numpy.typing import NDArray
 
-from ryepier.emulator.records import History
+from ryepier.emulator.records import Happening, History
 from ryepier.emulator.world import World
 from ryepier.experiments import contract, figures
 from ryepier.experiments.judge import RULES, Breach
@@ -54,6 +54,11 @@
     return path
 
 
+def happenings(folder: Path) -> list[Happening]:
+    """What was done to the world in the run in `folder`. Raises as `write` does."""
+    return msgspec.msgpack.decode((folder / contract.HISTORY).read_bytes(), type=History).happenings
+
+
 def _svg(figure: Figure) -> str:
     text = io.StringIO()
     figure.tight_layout()
--- a/ryepier/plan/compute.py
+++ b/ryepier/plan/compute.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import statistics
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Literal
 
 from ryepier.plan.follow import Rules
 from ryepier.plan.merge import MEMORY_US, Evidence, Forwarder
-from ryepier.plan.messages import Entry, Plan, Term
+from ryepier.plan.messages import TIME_BUCKETS, Entry, Plan, Term
 from ryepier.plan.messages import Evidence as Basis
 
 LEAST_BAD = 2.0  # recent bad ends at a converter that are more than chance
@@ -50,11 +50,23 @@
 class _Sum:
     served: float = 0.0
     bad: float = 0.0
-    answer_us: float = 0.0
+    times: list[float] = field(default_factory=lambda: [0.0] * TIME_BUCKETS)
     voters: int = 0
     users: int = 0
     outstanding: int = 0
 
+    @property
+    def median_ms(self) -> float:
+        """Of its answers' times, evenly within a bucket. Hazard: by the mean a few heavy requests would make a
+        converter slow."""
+        half, seen = sum(self.times) / 2, 0.0
+        for index, count in enumerate(self.times):
+            if count > 0.0 and seen + count >= half:
+                low = float(2 ** (index - 1)) if index else 0.0
+                return low + (2.0**index - low) * (half - seen) / count
+            seen += count
+        return 0.0
+
     @property
     def bad_share(self) -> float:
         return self.bad / (self.served + self.bad) if self.served + self.bad > 0 else 0.0
@@ -63,8 +75,9 @@
 class Planner:
     """What was judged so far, and the plans made of it."""
 
-    def __init__(self, rules: Rules, tenant_shares: list[float]) -> None:
+    def __init__(self, rules: Rules, tenant_shares: list[float], class_limits: list[float] | None = None) -> None:
         self.rules = rules
+        self.class_limits = class_limits or []  # arrivals a second over all forwarders; 0 = no limit
         self.tenant_shares = tenant_shares
         self.judged: dict[str, Judged] = {}
         self.liars: set[str] = set()
@@ -98,7 +111,8 @@
             return None
         self._judge(now_us, sums, basis)
         entries = self._entries(sums, len(heard))
-        return Plan(term, number, basis, entries, VALID_MS, FADE_MS, self._tenant_worth(heard))
+        return Plan(term, number, basis, entries, VALID_MS, FADE_MS, self._tenant_worth(heard),
+                    self._class_admit(heard))
 
     def resting(self) -> set[str]:
         return {uid for uid, judged in self.judged.items() if judged.state == "rests"}
@@ -113,7 +127,7 @@
                 total, recent = sums.setdefault(uid, _Sum()), cell.recent
                 total.served += recent.served
                 total.bad += recent.bad
-                total.answer_us += recent.answer_us
+                total.times = [one + other for one, other in zip(total.times, recent.times, strict=True)]
                 total.voters += recent.bad >= VOTE
                 total.users += recent.served + recent.bad >= VOTE
                 total.outstanding += known.outstanding.get(uid, 0)
@@ -172,13 +186,13 @@
 
     def _entries(self, sums: dict[str, _Sum], forwarders: int) -> dict[str, Entry]:
         entries: dict[str, Entry] = {}
-        times = {uid: total.answer_us / total.served for uid, total in sums.items() if total.served >= LEAST_SERVED}
-        usual_us = statistics.median(times.values()) if times else 0.0
-        for uid, took_us in times.items():
-            if took_us > SLOW * usual_us and uid not in self.judged:
-                ratio = took_us / usual_us
+        times = {uid: total.median_ms for uid, total in sums.items() if total.served >= LEAST_SERVED}
+        usual_ms = statistics.median(times.values()) if times else 0.0
+        for uid, took_ms in times.items():
+            if took_ms > SLOW * usual_ms > 0.0 and uid not in self.judged:
+                ratio = took_ms / usual_ms
                 entries[uid] = Entry(max(LEAST_WEIGHT, 1.0 / ratio), 1 if ratio > SLOWEST else 0,
-                                     why=f"its answers take {ratio:.1f} times the median")
+                                     why=f"its median answer takes {took_ms:.0f} ms, {ratio:.1f} times the usual")
         if self.fleet_trouble:
             return entries
         for uid, judged in self.judged.items():
@@ -206,3 +220,13 @@
             return []
         return [min(1.0, share * total / count) if count > 0.0 else 1.0
                 for share, count in zip(self.tenant_shares, seen, strict=True)]
+
+    def _class_admit(self, heard: dict[str, Forwarder]) -> list[float]:
+        """By class, the share of all arrivals that its limit lets in; nothing where none is over its limit."""
+        per_s = [0.0] * len(self.class_limits)
+        for known in heard.values():
+            for index, count in enumerate(known.recent_class_arrivals[:len(per_s)]):
+                per_s[index] += count / (MEMORY_US / 1e6)  # what fades so fast sums up to the rate times its memory
+        admit = [min(1.0, limit / rate) if limit > 0.0 and rate > 0.0 else 1.0
+                 for limit, rate in zip(self.class_limits, per_s, strict=True)]
+        return admit if min(admit, default=1.0) < 1.0 else []
--- a/ryepier/plan/follow.py
+++ b/ryepier/plan/follow.py
@@ -114,6 +114,13 @@
         """Whether it is this forwarder's turn to try a converter that rests; another's with the next few plans."""
         return spread(self.name, uid, str(plan.number // TRIAL_PLANS)) < trial
 
+    def class_admit(self, now_us: int) -> list[float]:
+        """A limit fades too: with planners away nobody knows the rate over all sidecars."""
+        trust = self.trust(now_us)
+        if self.plan is None or trust == 0.0:
+            return []
+        return [1.0 - (1.0 - share) * trust for share in self.plan.class_admit]
+
     def tenant_worth(self, now_us: int) -> list[float]:
         if self.plan is None or self.trust(now_us) < 1.0:
             return []  # an old view of the rates is worse than what is seen here
--- a/ryepier/plan/forwarder.py
+++ b/ryepier/plan/forwarder.py
@@ -139,8 +139,8 @@
 
     # What the host observes
 
-    def arrived(self, tenant: int) -> None:
-        self.reporter.arrived(tenant)
+    def arrived(self, tenant: int, class_index: int) -> None:
+        self.reporter.arrived(tenant, class_index)
 
     def refused(self) -> None:
         self.reporter.was_refused()
@@ -244,7 +244,7 @@
     def tell_module(self) -> None:
         now_us = clock_us()
         event = PlanUpdated(self.follower.advice(now_us, dict(self.sidecar.idents())),
-                            self.follower.tenant_worth(now_us))
+                            self.follower.tenant_worth(now_us), self.follower.class_admit(now_us))
         if event != self.told:
             self.told = event
             self.sidecar.planned(event)
--- a/ryepier/plan/merge.py
+++ b/ryepier/plan/merge.py
@@ -8,8 +8,9 @@
 
 import math
 from dataclasses import dataclass, field
+from itertools import zip_longest
 
-from ryepier.plan.messages import Report, Seen, Term
+from ryepier.plan.messages import TIME_BUCKETS, Report, Seen, Term
 
 MEMORY_US = 2_000_000  # what is recent fades to a third within it
 HEARD_US = 3_000_000  # a forwarder that was not heard for longer does not count
@@ -24,7 +25,7 @@
     served: float = 0.0
     bad: float = 0.0
     full: float = 0.0
-    answer_us: float = 0.0
+    times: list[float] = field(default_factory=lambda: [0.0] * TIME_BUCKETS)
     at_us: int = 0
 
     def fade(self, now_us: int) -> None:
@@ -32,7 +33,7 @@
         self.served *= share
         self.bad *= share
         self.full *= share
-        self.answer_us *= share
+        self.times = [count * share for count in self.times]
         self.at_us = max(self.at_us, now_us)
 
 
@@ -57,6 +58,8 @@
     outstanding: dict[str, int] = field(default_factory=dict)
     arrivals: list[int] = field(default_factory=list)
     recent_arrivals: list[float] = field(default_factory=list)
+    class_arrivals: list[int] = field(default_factory=list)
+    recent_class_arrivals: list[float] = field(default_factory=list)
     refused: int = 0
     recent_refused: float = 0.0
     rates_us: int = 0
@@ -67,7 +70,17 @@
 def greater(one: Seen, other: Seen) -> Seen:
     """The merge of two states of the same counters."""
     return Seen(max(one.sends, other.sends), max(one.served, other.served), max(one.bad, other.bad),
-                max(one.full, other.full), max(one.answer_us, other.answer_us))
+                max(one.full, other.full),
+                tuple(map(max, zip_longest(one.times[:TIME_BUCKETS], other.times[:TIME_BUCKETS], fillvalue=0))))
+
+
+def _grow(whole: list[int], recent: list[float], counts: list[int], share: float, first: bool) -> None:
+    """Take counters as they stand now; what they grew by is recent."""
+    whole += [0] * (len(counts) - len(whole))
+    recent += [0.0] * (len(counts) - len(recent))
+    for index, count in enumerate(counts):
+        recent[index] = recent[index] * share + (0 if first else max(0, count - whole[index]))
+        whole[index] = max(whole[index], count)
 
 
 class Evidence:
@@ -107,19 +120,16 @@
         recent.served += merged.served - cell.seen.served
         recent.bad += merged.bad - cell.seen.bad
         recent.full += merged.full - cell.seen.full
-        recent.answer_us += merged.answer_us - cell.seen.answer_us
+        for index, count in enumerate(merged.times):
+            recent.times[index] += count - (cell.seen.times[index] if index < len(cell.seen.times) else 0)
         cell.seen = merged
 
     @staticmethod
     def _merge_rates(now_us: int, known: Forwarder, report: Report, first: bool) -> None:
         share = math.exp(-max(0, now_us - known.rates_us) / MEMORY_US)
         known.rates_us = now_us
-        known.arrivals += [0] * (len(report.arrivals) - len(known.arrivals))
-        known.recent_arrivals += [0.0] * (len(report.arrivals) - len(known.recent_arrivals))
-        for index, count in enumerate(report.arrivals):
-            growth = 0 if first else max(0, count - known.arrivals[index])
-            known.recent_arrivals[index] = known.recent_arrivals[index] * share + growth
-            known.arrivals[index] = max(known.arrivals[index], count)
+        _grow(known.arrivals, known.recent_arrivals, report.arrivals, share, first)
+        _grow(known.class_arrivals, known.recent_class_arrivals, report.class_arrivals, share, first)
         known.recent_refused = known.recent_refused * share + (0 if first else max(0, report.refused - known.refused))
         known.refused = max(known.refused, report.refused)
 
--- a/ryepier/plan/messages.py
+++ b/ryepier/plan/messages.py
@@ -13,6 +13,7 @@
 VERSION = 1
 LONGEST = 1024 * 1024  # bytes of one message: a plan for 10,000 converters is about a third of it
 MOST_CONVERTERS = 20_000
+TIME_BUCKETS = 16  # of answers, by powers of two from 1 ms: the last holds all from 16 s on
 LONGEST_NAME = 200
 LENGTH_BYTES = 4
 
@@ -41,6 +42,11 @@
     peer: bool = False  # it is a planner
 
 
+def bucket_of(answer_us: int) -> int:
+    """The bucket of an answer's time: 0 up to 1 ms, then one for each doubling."""
+    return min(TIME_BUCKETS - 1, (answer_us // 1000).bit_length())
+
+
 class Seen(msgspec.Struct, frozen=True, array_like=True):
     """What a forwarder saw of one converter since its start: counters that only grow, so that a report that comes
     twice, late or out of order does no harm."""
@@ -49,7 +55,7 @@
     served: Whole = 0
     bad: Whole = 0  # errors, resets, spoilt answers, failed connections, time-outs and silences
     full: Whole = 0  # turned away
-    answer_us: Whole = 0  # sum of the times of what was served
+    times: tuple[Whole, ...] = ()  # of what was served, by bucket (`bucket_of`); trailing zeros may be left out
 
 
 class Report(msgspec.Struct, tag="report", tag_field="type", frozen=True):
@@ -60,6 +66,7 @@
     seen: dict[Name, Seen]  # by the converter's uid; only those whose counters moved
     outstanding: dict[Name, Whole]  # sends that are out, where there are any
     arrivals: list[Whole]  # by tenant, since its start
+    class_arrivals: list[Whole]  # by class, since its start
     refused: Whole  # since its start
     term: Term = Term()  # the highest that it has seen in a sound plan
     plan_age_ms: Whole = 0  # since it took the last sound plan of that term
@@ -95,6 +102,7 @@
     valid_ms: Whole  # from its arrival on it is followed in full for so long
     fade_ms: Whole  # and then fades over so long
     tenant_worth: list[Part] = []
+    class_admit: list[Part] = []  # by class, the share of the arrivals that is let in; empty: all
 
 
 class Beat(msgspec.Struct, tag="beat", tag_field="type", frozen=True):
--- a/ryepier/plan/planner.py
+++ b/ryepier/plan/planner.py
@@ -40,6 +40,7 @@
     peers: dict[str, tuple[str, int]]  # the other planners, by name
     rules: Rules
     tenant_shares: list[float]
+    class_limits: list[float]
     most_forwarders: int
     folder: Path | None = None  # for its snapshot
 
@@ -140,7 +141,7 @@
         self.settings = settings
         self.boot = time.time_ns() // 1000  # greater with each life
         self.evidence = Evidence(now_us)
-        self.planner = Planner(settings.rules, settings.tenant_shares)
+        self.planner = Planner(settings.rules, settings.tenant_shares, settings.class_limits)
         names = sorted([settings.name, *settings.peers])
         self.leadership = Leadership(settings.name, names.index(settings.name), now_us)
         self.links: set[Link] = set()
--- a/ryepier/plan/report.py
+++ b/ryepier/plan/report.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from glenkeel.interface import Outcome
-from ryepier.plan.messages import Report, Seen, Term
+from ryepier.plan.messages import TIME_BUCKETS, Report, Seen, Term, bucket_of
 
 BAD = frozenset((Outcome.ERROR, Outcome.RESET, Outcome.SPOILT, Outcome.TIMEOUT, Outcome.CONNECT_FAILED))
 
@@ -20,25 +20,28 @@
     served: int = 0
     bad: int = 0
     full: int = 0
-    answer_us: int = 0
+    times: list[int] = field(default_factory=lambda: [0] * TIME_BUCKETS)
     changed: bool = False
     out: dict[int, tuple[int, bool]] = field(default_factory=dict)  # by token: (silent from when on, counted as bad)
 
     def seen(self) -> Seen:
-        return Seen(self.sends, self.served, self.bad, self.full, self.answer_us)
+        used = max((i + 1 for i, count in enumerate(self.times) if count), default=0)
+        return Seen(self.sends, self.served, self.bad, self.full, tuple(self.times[:used]))
 
 
 class Reporter:
     """Counts since the process began; `silent_us` by class: an attempt without an answer for so long is bad."""
 
     def __init__(self, silent_us: list[int], tenants: int) -> None:
+        self.class_arrivals = [0] * len(silent_us)
         self.silent_us = silent_us
         self.notes: dict[str, _Notes] = {}
         self.arrivals = [0] * tenants
         self.refused = 0
         self.number = 0
 
-    def arrived(self, tenant: int) -> None:
+    def arrived(self, tenant: int, class_index: int) -> None:
+        self.class_arrivals[class_index] += 1
         if tenant < len(self.arrivals):
             self.arrivals[tenant] += 1
 
@@ -61,7 +64,7 @@
         notes.changed = True
         if outcome is Outcome.OK:
             notes.served += 1
-            notes.answer_us += elapsed_us
+            notes.times[bucket_of(elapsed_us)] += 1
         elif outcome is Outcome.FULL:
             notes.full += 1
         elif outcome in BAD and not counted:
@@ -84,4 +87,5 @@
         for notes in self.notes.values():
             notes.changed = False
         outstanding = {uid: len(notes.out) for uid, notes in self.notes.items() if notes.out}
-        return Report(self.number, listed, seen, outstanding, list(self.arrivals), self.refused, term, plan_age_ms)
+        return Report(self.number, listed, seen, outstanding, list(self.arrivals), list(self.class_arrivals),
+                      self.refused, term, plan_age_ms)
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -95,21 +95,22 @@
     reporter = Reporter([100], 1)
     reporter.sent(0, "a", 1, 0)
     reporter.sent(0, "b", 2, 0)
-    reporter.ended("b", 2, Outcome.OK, 50)
+    reporter.ended("b", 2, Outcome.OK, 2_500)
     first = reporter.report(99, 2, Term(), 0)
-    assert first.seen == {"a": Seen(1), "b": Seen(1, 1, 0, 0, 50)} and first.outstanding == {"a": 1}
+    assert first.seen == {"a": Seen(1), "b": Seen(1, 1, 0, 0, (0, 0, 1))} and first.outstanding == {"a": 1}
     assert reporter.report(100, 2, Term(), 0).seen == {"a": Seen(1, bad=1)}
     reporter.ended("a", 1, Outcome.TIMEOUT, 900)  # counted already
     assert reporter.report(200, 2, Term(), 0).seen == {"a": Seen(1, bad=1)}
     reporter.keep({"b"})
-    assert reporter.report(300, 1, Term(), 0, whole=True).seen == {"b": Seen(1, 1, 0, 0, 50)}
+    assert reporter.report(300, 1, Term(), 0, whole=True).seen == {"b": Seen(1, 1, 0, 0, (0, 0, 1))}
 
 
 def growing(counts: list[int]) -> list[Report]:
     total, reports = 0, []
     for number, count in enumerate(counts, 1):
         total += count
-        reports.append(Report(number, 10, {"c": Seen(total, total), f"d{number % 3}": Seen(number)}, {}, [], 0))
+        other = Seen(number, times=(0,) * (number % 4) + (number,))
+        reports.append(Report(number, 10, {"c": Seen(total, total), f"d{number % 3}": other}, {}, [], [], 0))
     return reports
 
 
@@ -136,24 +137,28 @@
 # Judging
 
 
-def saw(evidence: Evidence, now_us: int, name: str, **cells: tuple[int, int]) -> None:
-    """A forwarder's next report: by converter, how much more was served and was bad."""
+def saw(evidence: Evidence, now_us: int, name: str, cells: dict[str, tuple[int, int]],
+        slower: tuple[str, ...] = ()) -> None:
+    """A forwarder's next report: by converter, how much more was served and was bad. It takes 16 to 32 ms, or 64 to
+    128 at the slower ones; ten requests of the one class have come."""
     known = evidence.forwarders.get(name)
     if known is None:
-        evidence.merge(now_us, name, 1, Report(1, 10, {}, {}, [], 0))
+        evidence.merge(now_us, name, 1, Report(1, 10, {}, {}, [], [], 0))
         known = evidence.forwarders[name]
     seen = {}
     for uid, (served, bad) in cells.items():
         old = known.cells[uid].seen if uid in known.cells else Seen()
-        seen[uid] = Seen(old.sends + served + bad, old.served + served, old.bad + bad, 0,
-                         old.answer_us + served * 30_000)
-    evidence.merge(now_us, name, 1, Report(known.number + 1, 10, seen, {}, [], 0))
+        slow = uid in slower
+        counts = [*old.times, *[0] * (8 - len(old.times))]
+        counts[7 if slow else 5] += served
+        seen[uid] = Seen(old.sends + served + bad, old.served + served, old.bad + bad, 0, tuple(counts))
+    evidence.merge(now_us, name, 1, Report(known.number + 1, 10, seen, {}, [], [10 * known.number], 0))
 
 
 def well(evidence: Evidence, now_us: int, but: dict[str, tuple[int, int]], names: int = 10) -> None:
     """All forwarders see all converters as well, but for these."""
     for index in range(names):
-        saw(evidence, now_us, f"f{index}", **(dict.fromkeys(LISTED, (3, 0)) | but))
+        saw(evidence, now_us, f"f{index}", dict.fromkeys(LISTED, (3, 0)) | but)
 
 
 def plan_at(planner: Planner, evidence: Evidence, now_us: int) -> Plan:
@@ -180,17 +185,40 @@
     at_us, found = 2 * S, []
     for _ in range(40):
         at_us += S // 2
-        saw(evidence, at_us, "f0", c3=(2, 0))
+        saw(evidence, at_us, "f0", {"c3": (2, 0)})
         well(evidence, at_us, {"c3": (0, 0)})
         entry = plan_at(planner, evidence, at_us).entries.get("c3", Entry())
         found.append("rests" if entry.rests else entry.weight)
     assert list(dict.fromkeys(found)) == ["rests", 0.25, 0.5, 1.0]
 
 
+def test_a_slow_converter_gets_less_by_its_median_whatever_a_few_heavy_requests_take() -> None:
+    planner, evidence = Planner(RULES, []), Evidence(0)
+    for index in range(6):
+        saw(evidence, 2 * S, f"f{index}", dict.fromkeys(LISTED, (6, 0)), ("c3",))
+        saw(evidence, 2 * S, f"f{index}", {"c4": (1, 0)}, ("c4",))
+    [(uid, entry)] = plan_at(planner, evidence, 2 * S).entries.items()
+    assert uid == "c3" and entry.weight == 0.25 and entry.cap == 1 and "96 ms" in entry.why
+
+
+def test_a_classes_limit_over_all_forwarders_is_shared_out_evenly_and_fades() -> None:
+    planner, evidence = Planner(RULES, [], [25.0]), Evidence(0)
+    for at_us in (2 * S, 2 * S + 1):
+        well(evidence, at_us, {}, names=5)  # 5 forwarders, 10 more arrivals each: 100 within 2 s are 50 a second
+    plan = plan_at(planner, evidence, 2 * S + 1)
+    assert plan.class_admit == [pytest.approx(0.5, rel=0.01)]
+    follower = Follower("f", RULES)
+    assert follower.offer(0, plan, LISTED) == "" and follower.class_admit(0) == plan.class_admit
+    assert 0.5 < follower.class_admit(15 * S)[0] < 1.0 and follower.class_admit(60 * S) == []
+    made = balancer(4)
+    admitted = sends(made, 4, PlanUpdated(class_admit=[0.5]))
+    assert len(admitted) == 2
+
+
 def test_one_forwarder_for_whom_all_is_bad_is_not_heard() -> None:
     planner, evidence = Planner(RULES, []), Evidence(0)
     well(evidence, 2 * S, {})
-    saw(evidence, 2 * S, "f0", **dict.fromkeys(LISTED, (0, 50)))
+    saw(evidence, 2 * S, "f0", dict.fromkeys(LISTED, (0, 50)))
     assert plan_at(planner, evidence, 2 * S).entries == {} and planner.liars == {"f0"}
 
 
@@ -206,7 +234,7 @@
     def check(views: list[dict[str, tuple[int, int]]]) -> None:
         planner, evidence = Planner(RULES, [0.5, 0.5]), Evidence(0)
         for index, cells in enumerate(views):
-            saw(evidence, 2 * S, f"f{index}", **cells)
+            saw(evidence, 2 * S, f"f{index}", cells)
         plan = planner.plan(2 * S, evidence, Term(1, "a"), 1)
         if plan is not None:
             [came] = Frames().feed(encode(plan))
--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -32,7 +32,7 @@
 async def a_planner(port: int, name: str = "a", peers: dict[str, int] | None = None,
                     most: int = 10) -> AsyncIterator[planner.Server]:
     others = {peer: ("127.0.0.1", at) for peer, at in (peers or {}).items()}
-    server = planner.Server(planner.Settings(name, ("127.0.0.1", port), others, RULES, [], most))
+    server = planner.Server(planner.Settings(name, ("127.0.0.1", port), others, RULES, [], [], most))
     stop = asyncio.Event()
     task = asyncio.create_task(server.run(stop))
     try:
@@ -148,7 +148,7 @@
 
 @pytest.mark.parametrize("data", [
     b"GET / HTTP/1.1\r\n\r\n", (LONGEST + 1).to_bytes(4, "big"), encode(Hello(VERSION + 1, "f", 1)),
-    encode(Report(1, 1, {}, {}, [], 0)), encode(Hello(VERSION, "f", 1)) * 2, b"\x00\x00\x00\x01\xc1",
+    encode(Report(1, 1, {}, {}, [], [], 0)), encode(Hello(VERSION, "f", 1)) * 2, b"\x00\x00\x00\x01\xc1",
 ])
 def test_peers_that_make_no_sense_get_a_refusal_and_the_planner_goes_on(data: bytes) -> None:
     async def test() -> None:
