Merge EndpointSlices into one list by six rules, whatever order their events come in

Need: EndpointSlices spread one converter's state over several objects, each updated on its own. Change: ryepier/slices reads the published API's objects and events, and a pure merger makes one list of them; the safest word wins, an end is never taken back, and a list that is suddenly empty is held. Result: property test over interleavings with repeats and a re-list; fuzz of the reader: no crash.

--- /dev/null
+++ b/tests/test_slices.py
@@ -0,0 +1,149 @@
+"""EndpointSlices without a network: what is read, and what many slices together say in whatever order they come."""
+
+from __future__ import annotations
+
+import json
+from contextlib import suppress
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from glenkeel.interface import UpstreamState
+from ryepier.slices.merge import HOLD_US, Merger
+from ryepier.slices.objects import Slice, SliceError, read_event, read_list
+
+READY, DRAINING = UpstreamState.READY, UpstreamState.DRAINING
+
+
+def endpoint(pod: str = "p1", address: str = "10.0.0.1", **conditions: Any) -> dict[str, Any]:
+    reference = {"targetRef": {"kind": "Pod", "uid": pod}} if pod else {}
+    return {"addresses": [address], "conditions": conditions} | reference
+
+
+def a_slice(*endpoints: dict[str, Any], name: str = "s1", uid: str = "u1", generation: int = 1) -> Slice:
+    raw = {"metadata": {"name": name, "uid": uid, "generation": generation}, "addressType": "IPv4",
+           "endpoints": list(endpoints), "ports": [{"name": "http", "port": 80}, {"name": "other", "port": 81}]}
+    found = read_event(json.dumps({"type": "ADDED", "object": raw}).encode()).slice
+    assert found is not None
+    return found
+
+
+def states(merger: Merger, now_us: int = 0) -> dict[str, UpstreamState]:
+    return {identity: verdict.state for identity, verdict in merger.verdicts(now_us).items()}
+
+
+@pytest.mark.parametrize(("conditions", "state"), [
+    ({}, READY), ({"ready": None}, READY), ({"ready": True}, READY), ({"ready": False}, DRAINING),
+    ({"ready": True, "serving": False}, DRAINING), ({"ready": False, "serving": True}, DRAINING),
+    ({"ready": True, "terminating": True}, DRAINING), ({"ready": True, "terminating": False}, READY),
+])
+def test_conditions_are_read_as_the_api_says(conditions: dict[str, Any], state: UpstreamState) -> None:
+    merger = Merger()
+    merger.apply(a_slice(endpoint(**conditions)))
+    assert states(merger) == {"p1": state}
+
+
+def test_one_address_in_two_slices_with_states_that_differ_is_safe() -> None:
+    merger = Merger()
+    merger.apply(a_slice(endpoint("", ready=True)))
+    merger.apply(a_slice(endpoint("", ready=True, terminating=True), name="s2", uid="u2"))
+    [verdict] = merger.verdicts(0).values()
+    assert (verdict.state, verdict.rule, verdict.said_by) == (DRAINING, 4, ("s1", "s2"))
+
+
+def test_a_slice_made_anew_while_its_endpoint_drains_does_not_bring_it_back() -> None:
+    merger = Merger()
+    merger.apply(a_slice(endpoint(ready=True), generation=3))
+    merger.apply(a_slice(endpoint(terminating=True), generation=4))
+    merger.delete(a_slice(endpoint(terminating=True), generation=4))
+    merger.apply(a_slice(endpoint(ready=True), endpoint("p2", "10.0.0.2"), uid="u9"))
+    assert not merger.apply(a_slice(endpoint(ready=True), generation=9))  # the old object, come late
+    assert states(merger) == {"p1": DRAINING, "p2": READY}
+    assert merger.verdicts(0)["p1"].rule == 3
+
+
+def test_an_address_that_a_new_pod_gets_within_a_second_is_another_converter() -> None:
+    merger = Merger()
+    merger.apply(a_slice(endpoint("p1", terminating=True)))
+    merger.apply(a_slice(endpoint("p2", ready=True), generation=2))
+    assert states(merger) == {"p2": READY}
+
+
+def test_without_a_pod_an_address_may_be_used_again_once_no_slice_holds_the_old_word() -> None:
+    merger = Merger()
+    merger.apply(a_slice(endpoint("", terminating=True)))
+    merger.apply(a_slice(endpoint("", ready=True), generation=2))
+    assert states(merger) == {"10.0.0.1:80": READY}
+
+
+def test_a_list_that_is_suddenly_empty_is_held_and_then_believed() -> None:
+    merger = Merger()
+    merger.apply(a_slice(endpoint(), endpoint("p2", "10.0.0.2")))
+    assert states(merger) == {"p1": READY, "p2": READY}
+    merger.delete(a_slice(endpoint(terminating=True)))
+    assert states(merger, 5) == {"p1": DRAINING, "p2": READY} and merger.alarmed
+    assert states(merger, 5 + HOLD_US) == {}
+
+
+def test_ports_are_chosen_by_name_and_a_slice_without_it_is_told_of() -> None:
+    merger = Merger("other")
+    merger.apply(a_slice(endpoint()))
+    assert merger.verdicts(0)["p1"].address == ("10.0.0.1", 81)
+    merger = Merger("none")
+    merger.apply(a_slice(endpoint()))
+    assert merger.verdicts(0) == {} and merger.skipped == {"s1": "no port 'none'"}
+
+
+STREAMS = st.lists(st.lists(st.tuples(st.sampled_from(["p1", "p2", "p3"]), st.booleans(), st.booleans()), max_size=3),
+                   min_size=1, max_size=4)
+
+
+@given(st.lists(STREAMS, min_size=1, max_size=3), st.data())
+def test_any_interleaving_with_repeats_ends_in_the_same_list_and_no_end_is_taken_back(
+        contents: list[list[list[tuple[str, bool, bool]]]], data: Any) -> None:
+    streams = []
+    for index, generations in enumerate(contents):
+        pods = [[endpoint(pod, f"10.0.0.{pod[1]}", ready=ready, terminating=ends) for pod, ready, ends in each]
+                for each in generations]
+        streams.append([a_slice(*each, name=f"s{index}", uid=f"u{index}", generation=number)
+                        for number, each in enumerate(pods, 1)])
+    straight, mixed = Merger(), Merger()
+    for stream in streams:
+        for one in stream:
+            straight.apply(one)
+    ended: set[str] = set()
+    everything = [one for stream in streams for one in stream]
+    for one in data.draw(st.permutations(everything + everything[::2])):
+        mixed.apply(one)
+        ended |= {e.target_ref.uid or "" for e in one.endpoints or []
+                  if e.target_ref and e.conditions and e.conditions.terminating}
+        assert all(mixed.verdicts(0)[pod].state is DRAINING for pod in ended & mixed.verdicts(0).keys())
+    mixed.replace([stream[-1] for stream in streams])
+    # a list that was empty on the way is held for a while (rule 6); after that all is one
+    for merger in (mixed, straight):
+        merger.verdicts(0)
+    assert mixed.verdicts(HOLD_US) == straight.verdicts(HOLD_US)
+
+
+@given(st.binary(max_size=200) | st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=9),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(
+        st.sampled_from(["type", "object", "metadata", "name", "endpoints", "addresses", "ports", "x"]), inner),
+    max_leaves=20).map(lambda value: json.dumps(value).encode()))
+def test_what_is_no_event_and_no_list_is_an_error_and_nothing_else(data: bytes) -> None:
+    for read in (read_event, read_list):
+        with suppress(SliceError):
+            read(data)
+
+
+def test_events_of_a_watch_are_told_apart() -> None:
+    gone = read_event(b'{"type":"ERROR","object":{"kind":"Status","code":410,"reason":"Expired"}}')
+    assert gone.status is not None and gone.status.code == 410
+    mark = read_event(b'{"type":"BOOKMARK","object":{"kind":"EndpointSlice","metadata":{"resourceVersion":"77"}}}')
+    assert mark.resource_version == "77" and mark.slice is None
+    page = read_list(b'{"metadata":{"resourceVersion":"5","continue":"abc"},"items":[]}')
+    assert page.metadata.more == "abc"
+    with pytest.raises(SliceError, match="unknown event"):
+        read_event(b'{"type":"RENAMED","object":{}}')
