--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -20,7 +20,7 @@
 from plovertrail import discovery
 from plovertrail.host import Answer, Call, Host, Result, Verdict, clock_us
 from plovertrail.upstreams import Attempt, Pool
-from ryepier.plan import snapshot
+from ryepier.plan import compute, snapshot
 from ryepier.plan.compute import Planner
 from ryepier.plan.follow import Follower
 from ryepier.plan.lead import Leadership
@@ -175,6 +175,7 @@
 def credulous() -> None:
     """A planner believes every forwarder."""
     Planner._find_liars = lambda self, heard: set()  # type: ignore[method-assign]
+    compute.MOST_SAY = float(10**9)
 
 
 def amnesiac() -> None:
--- a/ryepier/plan/compute.py
+++ b/ryepier/plan/compute.py
@@ -11,7 +11,7 @@
 from typing import Literal
 
 from ryepier.plan.follow import Rules
-from ryepier.plan.merge import MEMORY_US, Evidence, Forwarder
+from ryepier.plan.merge import MEMORY_US, Evidence, Forwarder, Recent
 from ryepier.plan.messages import TIME_BUCKETS, Entry, Plan, Term
 from ryepier.plan.messages import Evidence as Basis
 
@@ -20,6 +20,7 @@
 WELL_SHARE = 0.25
 LEAST_VOTERS = 2  # forwarders that must have seen it: one alone may be broken itself
 VOTE = 0.5  # recent bad ends from which a forwarder has a say against a converter
+MOST_SAY = 3.0  # ends of one forwarder at one converter that count: whoever shouts is not heard further
 LIAR_SHARE = 0.5  # a forwarder for whom so much is bad, where the same converters are well for the others, is not heard
 LIAR_CONVERTERS = 3
 TRIALS = 2  # forwarders that may try a resting converter at a time: enough to see it come back
@@ -46,6 +47,11 @@
     step: int = 0
 
 
+def say(recent: Recent) -> float:
+    """By what a forwarder's recent counts at one converter are multiplied, so that none outweighs the others."""
+    return min(1.0, MOST_SAY / max(MOST_SAY, recent.served + recent.bad))
+
+
 @dataclass(slots=True)
 class _Sum:
     served: float = 0.0
@@ -125,9 +131,10 @@
                 continue
             for uid, cell in known.cells.items():
                 total, recent = sums.setdefault(uid, _Sum()), cell.recent
-                total.served += recent.served
-                total.bad += recent.bad
-                total.times = [one + other for one, other in zip(total.times, recent.times, strict=True)]
+                part = say(recent)
+                total.served += recent.served * part
+                total.bad += recent.bad * part
+                total.times = [one + other * part for one, other in zip(total.times, recent.times, strict=True)]
                 total.voters += recent.bad >= VOTE
                 total.users += recent.served + recent.bad >= VOTE
                 total.outstanding += known.outstanding.get(uid, 0)
@@ -139,8 +146,9 @@
         for known in heard.values():
             for uid, cell in known.cells.items():
                 total = whole.setdefault(uid, _Sum())
-                total.served += cell.recent.served
-                total.bad += cell.recent.bad
+                part = say(cell.recent)
+                total.served += cell.recent.served * part
+                total.bad += cell.recent.bad * part
         found = set()
         for name, known in heard.items():
             bad = {uid: cell.recent for uid, cell in known.cells.items() if cell.recent.bad >= VOTE}
@@ -148,8 +156,8 @@
                        sum(cell.recent.bad for cell in known.cells.values()))
             if len(bad) < LIAR_CONVERTERS or own.bad_share < LIAR_SHARE:
                 continue
-            others = _Sum(sum(whole[uid].served - recent.served for uid, recent in bad.items()),
-                          sum(whole[uid].bad - recent.bad for uid, recent in bad.items()))
+            others = _Sum(sum(whole[uid].served - recent.served * say(recent) for uid, recent in bad.items()),
+                          sum(whole[uid].bad - recent.bad * say(recent) for uid, recent in bad.items()))
             if others.served + others.bad >= LEAST_BAD and others.bad_share < WELL_SHARE:
                 found.add(name)
         return found
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -222,6 +222,14 @@
     assert plan_at(planner, evidence, 2 * S).entries == {} and planner.liars == {"f0"}
 
 
+def test_a_few_forwarders_that_shout_do_not_outweigh_the_others() -> None:
+    planner, evidence = Planner(RULES, []), Evidence(0)
+    well(evidence, 2 * S, {})
+    for name in ("f0", "f1", "f2"):
+        saw(evidence, 2 * S, name, {"c3": (0, 5000), "c4": (0, 5000)})
+    assert plan_at(planner, evidence, 2 * S).entries == {}
+
+
 def test_where_much_of_the_fleet_is_bad_none_rests() -> None:
     planner, evidence = Planner(RULES, []), Evidence(0)
     well(evidence, 2 * S, {f"c{i}": (0, 3) for i in range(5)})
