--- a/ryepier/plan/compute.py
+++ b/ryepier/plan/compute.py
@@ -134,7 +134,10 @@
                 part = say(recent)
                 total.served += recent.served * part
                 total.bad += recent.bad * part
-                total.times = [one + other * part for one, other in zip(total.times, recent.times, strict=True)]
+                if recent.served > 0.0:
+                    for index, count in enumerate(recent.times):
+                        if count:
+                            total.times[index] += count * part
                 total.voters += recent.bad >= VOTE
                 total.users += recent.served + recent.bad >= VOTE
                 total.outstanding += known.outstanding.get(uid, 0)
--- a/ryepier/plan/merge.py
+++ b/ryepier/plan/merge.py
@@ -29,6 +29,8 @@
     at_us: int = 0
 
     def fade(self, now_us: int) -> None:
+        if now_us <= self.at_us:
+            return
         share = math.exp(-max(0, now_us - self.at_us) / MEMORY_US)
         self.served *= share
         self.bad *= share
--- a/ryepier/plan/planner.py
+++ b/ryepier/plan/planner.py
@@ -209,7 +209,9 @@
     def tick(self, now_us: int, tick: int) -> None:
         """Beat, lead or follow, plan, save."""
         heard = self.evidence.heard(now_us)
-        leads = self.leadership.tick(now_us, heard, self.planner.sound(self.planner.basis(now_us, self.evidence)))
+        # a leader's evidence is weighed with each plan; only one that may take over has to know beforehand
+        sound = not self.leadership.leads and self.planner.sound(self.planner.basis(now_us, self.evidence))
+        leads = self.leadership.tick(now_us, heard, sound)
         if leads != self.led:  # it may have stepped down between two ticks, on a beat
             self.led = leads
             log.info("%s, epoch %d", "leads" if leads else "follows", self.leadership.highest.epoch)
@@ -217,7 +219,8 @@
         beat = encode(Beat(self.leadership.highest, leads, len(heard)))
         for link in list(self.links):
             link.write(beat)
-        self.publish(now_us, due=tick % PLAN_TICKS == 0)
+        if leads or tick % PLAN_TICKS == 0:
+            self.publish(now_us, due=tick % PLAN_TICKS == 0)
         if tick % SNAPSHOT_TICKS == 0:
             self.save()
         if tick % FORGET_TICKS == 0:
