--- a/ryepier/plan/compute.py
+++ b/ryepier/plan/compute.py
@@ -59,7 +59,6 @@
     times: list[float] = field(default_factory=lambda: [0.0] * TIME_BUCKETS)
     voters: int = 0
     users: int = 0
-    outstanding: int = 0
 
     @property
     def median_ms(self) -> float:
@@ -140,7 +139,6 @@
                             total.times[index] += count * part
                 total.voters += recent.bad >= VOTE
                 total.users += recent.served + recent.bad >= VOTE
-                total.outstanding += known.outstanding.get(uid, 0)
         return sums
 
     def _find_liars(self, heard: dict[str, Forwarder]) -> set[str]:
