--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 from glenkeel import interface as api
 from glenkeel.balance import Balancer
@@ -103,6 +103,17 @@
         """Close those connections, and the busy ones once they are done."""
 
 
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Timers(Protocol):
+    """What the host needs of a loop."""
+
+    def call_later(self, delay: float, callback: Callable[..., None], *args: Any) -> Timer:
+        """Call it in so many seconds, unless it is cancelled first."""
+
+
 class Recogniser(Protocol):
     """Tells which requests come again."""
 
@@ -157,7 +168,7 @@
     upstream: int
     sent_us: int
     flight: Flight | None = None
-    timer: asyncio.TimerHandle | None = None
+    timer: Timer | None = None
     ended: bool = False
     outcome: api.Outcome | None = None
 
@@ -169,7 +180,7 @@
     due_us: int
     reply: Callable[[Answer], None]
     attempts: list[Attempt] = field(default_factory=list)
-    timer: asyncio.TimerHandle | None = None
+    timer: Timer | None = None
     over: bool = False  # it has had its final answer, or the client has gone
 
 
@@ -197,9 +208,9 @@
 class Host:
     """One `Balancer`, its clock and timers, and the requests and attempts that are live."""
 
-    def __init__(self, settings: api.Settings, seed: int, upstreams: Upstreams) -> None:
+    def __init__(self, settings: api.Settings, seed: int, upstreams: Upstreams, timers: Timers | None = None) -> None:
         self.settings = settings
-        self.loop = asyncio.get_running_loop()
+        self.timers: Timers = timers or asyncio.get_running_loop()
         self.upstreams = upstreams
         self.subscribe: Callable[[bool], None] = lambda active: None
         self.observer: Observer | None = None
@@ -322,8 +333,8 @@
         else:
             log.warning("not carried out here: %s", type(action).__name__)
 
-    def _at(self, at_us: int, what: Callable[..., None], *args: object) -> asyncio.TimerHandle:
-        return self.loop.call_later(max(0, at_us - clock_us() + 1) / 1e6, what, *args)
+    def _at(self, at_us: int, what: Callable[..., None], *args: object) -> Timer:
+        return self.timers.call_later(max(0, at_us - clock_us() + 1) / 1e6, what, *args)
 
     # Requests
 
--- /dev/null
+++ b/ryepier/assembly/parts.py
@@ -0,0 +1,161 @@
+"""A sidecar's parts and a planner's settings, from what the operators' file and the platform's say.
+
+Heavier libraries come in with what uses them, and only there.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING
+
+from plovertrail import config as platform
+from plovertrail import system
+from plovertrail.config import parse_address
+from plovertrail.host import Host, clock_us
+from plovertrail.parts import PLATFORM, Companion, Parts, Source
+from ryepier.conf import operators as conf
+from ryepier.conf.operators import Operators
+from ryepier.plan import follow, forwarder
+from ryepier.plan.machine import Machine
+
+if TYPE_CHECKING:
+    from ryepier.plan.planner import Server
+    from ryepier.slices.source import Settings
+
+log = logging.getLogger(__name__)
+
+
+class AssemblyError(ValueError):
+    """The two files do not go together; says how."""
+
+
+def machine(seed: str) -> Machine:
+    """What this process runs on. Hazard: sidecars that are alike but for their names must not draw alike."""
+    return Machine(clock_us, lambda: system.unix_ns() // 1000, Random(seed))
+
+
+def trust_rules(operators: Operators) -> follow.Rules:
+    """The operators' [trust] as the plan's own rules."""
+    trust = operators.trust
+    return follow.Rules(trust.fleet, trust.least_reporters, trust.least_window_ms, trust.least_covered,
+                        trust.most_resting, trust.least_weight)
+
+
+def make_forwarder(operators: Operators, config: platform.Config, host: Host, source: Source) -> Companion:
+    """The part that reports to planners and follows their plans, as the host's observer."""
+    def ready() -> dict[str, int]:
+        return {uid: ident for uid, ident in source.idents().items() if ident in host.addresses}
+
+    plan = operators.plan
+    settings = forwarder.Settings(plan.name or config.name, [parse_address(text) for text in plan.planners],
+                                  trust_rules(operators), plan.report_ms / 1000)
+    sidecar = forwarder.Sidecar(ready, host.planned, [kind.aim_us for kind in config.settings.classes],
+                                len(config.settings.tenants))
+    made = forwarder.Forwarder(settings, sidecar, machine(f"{config.seed} {settings.name}"))
+    host.observe(made)
+    return made
+
+
+def make_guard(operators: Operators, config: platform.Config, host: Host, source: Source) -> Companion:
+    """The guard against retry storms, as the host's recogniser and one of its observers."""
+    from ryepier.storm.detect import Detector
+    from ryepier.storm.guard import Guard
+
+    settings = config.settings
+    shares = [tenant.share or tenant.allowance_per_s for tenant in settings.tenants]
+    whole = sum(shares) or 1.0
+    made = Guard(Detector(clock_us(), [share / whole for share in shares], settings.max_retry_after_us,
+                          operators.storm.whole_seconds), host.stormed, clock_us)
+    host.recogniser = made
+    host.observe(made)
+    return made
+
+
+def make_slice_source(operators: Operators, config: platform.Config, host: Host) -> Source:
+    """The EndpointSlices that the operators' file names, in place of the platform's discovery."""
+    from ryepier.slices.source import SliceSource  # with TLS and all: only where it is used
+
+    settings = source_settings(operators.slices, config)
+    log.info("the list comes from the EndpointSlices of %s/%s; the platform's discovery is not asked",
+             settings.namespace, settings.service)
+    return SliceSource(settings, host.list_changed, clock_us)
+
+
+def namespace_of(slices: conf.Slices) -> str:
+    """As named, or else the pod's own. Raises AccessError."""
+    from ryepier.slices.client import POD, AccessError
+
+    if slices.namespace:
+        return slices.namespace
+    try:
+        return (POD / "namespace").read_text(encoding="ascii").strip()
+    except OSError:
+        raise AccessError("slices.namespace is not set, and this is no pod that would tell") from None
+
+
+def source_settings(slices: conf.Slices, config: platform.Config) -> Settings:
+    """What a sidecar's source is told. Raises AccessError."""
+    from ryepier.slices.client import find_access
+    from ryepier.slices.listing import Rules
+    from ryepier.slices.source import Settings
+
+    access = find_access(slices.server, slices.token_file, slices.ca_file, slices.client_cert_file,
+                         slices.client_key_file)
+    rules = Rules(config.zones, len(config.kinds), slices.cell, slices.settle_ms * 1000)
+    return Settings(access, namespace_of(slices), slices.service, rules, slices.port, slices.watch_s,
+                    slices.hold_s * 1_000_000, Path(slices.cache) if slices.cache else None,
+                    not config.settings.list_on_request, config.seed)
+
+
+def check(operators: Operators, config: platform.Config) -> None:
+    """Raises AssemblyError where the operators' file asks for what can't be had."""
+    if operators.plan.planners and not (operators.plan.name or config.name):
+        raise AssemblyError("a forwarder needs a name: none in the platform's configuration, and no plan.name")
+    if operators.slices.service:
+        from ryepier.slices.client import AccessError
+
+        try:
+            source_settings(operators.slices, config)
+        except AccessError as error:
+            raise AssemblyError(f"slices: {error}") from None
+    if operators.graphql.enabled:
+        from ryepier.fronts.graphql import make_table
+
+        try:
+            make_table(operators.graphql, config.settings)
+        except ValueError as error:
+            raise AssemblyError(f"graphql: {error}") from None
+
+
+def parts_for(operators: Operators) -> Parts:
+    """The platform's parts, and what the operators' file adds to them or puts in their place."""
+    parts = PLATFORM
+    if operators.slices.service:
+        parts = replace(parts, source=partial(make_slice_source, operators))
+    if operators.graphql.enabled:
+        from ryepier.fronts.graphql import make_fronts  # with graphql-core: only where it is used
+
+        parts = replace(parts, fronts=make_fronts(operators.graphql))
+    if operators.plan.planners:
+        parts = replace(parts, companions=(*parts.companions, partial(make_forwarder, operators)))
+    if operators.storm.enabled:
+        parts = replace(parts, companions=(*parts.companions, partial(make_guard, operators)))
+    return parts
+
+
+def make_planner(operators: Operators, seed: int) -> Server:
+    """A planner, not started. Raises AssemblyError."""
+    from ryepier.plan import planner
+
+    own = operators.planner
+    folder = Path(own.snapshots) if own.snapshots else None
+    if folder is not None and not folder.is_dir():
+        raise AssemblyError(f"planner.snapshots: no folder {folder}")
+    settings = planner.Settings(
+        own.name, parse_address(own.listen), {name: parse_address(text) for name, text in own.peers.items()},
+        trust_rules(operators), own.tenant_shares, own.class_limits, own.most_forwarders, folder)
+    return planner.Server(settings, machine(f"{seed} {own.name}"))
--- /dev/null
+++ b/ryepier/check/canonical.py
@@ -0,0 +1,96 @@
+"""When two worlds are the same: all that decides what may come next, with times counted from now, under every renaming
+of converters that are alike.
+
+What the module has learnt (paces, loads, shares of faults) is left out: it says which converter is the likelier, and
+every converter that may be drawn is drawn anyway. What it opens and closes by it (slots, rests) is kept.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from glenkeel import balance
+from plovertrail import host
+from ryepier.check.model import Model, World
+
+Rename = dict[int, int]
+OLDEST_US = 300_000  # longer ago than any deadline or memory of a key: it makes no difference any more
+
+
+def renamings(model: Model) -> Iterator[Rename]:
+    """Of converters onto each other: those of one cell stay together."""
+    ids = range(1, model.converters + 1)
+    for order in itertools.permutations(ids):
+        cells: dict[int, int] = {}
+        if all(cells.setdefault(model.cell(old), model.cell(new)) == model.cell(new)
+               for old, new in zip(ids, order, strict=True)) and len(set(cells.values())) == len(cells):
+            yield dict(zip(ids, order, strict=True))
+
+
+class _View:
+    """One world under one renaming."""
+
+    def __init__(self, world: World, rename: Rename) -> None:
+        self.world = world
+        self.now_us = world.timers.now_us
+        self.rename = rename
+
+    def left(self, at_us: int) -> int:
+        """How long until then; what has passed has passed."""
+        return max(-1, at_us - self.now_us)
+
+    def half_aim_us(self, one: balance.Request) -> int:
+        return self.world.host.balancer.half_aim_us(one.event.class_index)
+
+    def attempt(self, one: balance.Attempt) -> tuple[Any, ...]:
+        ended = one.ended.value if one.ended is not None else ""
+        return (self.rename[one.entry.id], max(-OLDEST_US, one.sent_us - self.now_us),
+                min(one.overtaken, balance.OVERTAKEN), one.passed, one.silent, one.lost, ended)
+
+    def server(self, one: balance.Server) -> tuple[Any, ...]:
+        return (self.rename[one.entry.id], one.entry.state.value, one.used, int(one.window), one.window < 1.0,
+                self.left(one.rest_until_us), tuple(one.mute), tuple(map(self.left, one.mute_until_us)), one.room,
+                one.slow_start, one in one.pool.in_use, len(one.out))
+
+    def asked(self, one: balance.Request) -> tuple[Any, ...]:
+        return (one.event.request, self.left(one.event.due_us), self.left(one.arrived_us + self.half_aim_us(one)),
+                tuple(map(self.attempt, one.attempts)), one.done)
+
+    def held(self, one: host.Request) -> tuple[Any, ...]:
+        return (one.ident, one.over, self.left(one.due_us),
+                tuple((self.rename[a.upstream], a.ended) for a in one.attempts))
+
+    def whole(self) -> tuple[Any, ...]:
+        world, balancer = self.world, self.world.host.balancer
+        flights = [(sent.request, self.rename[sent.upstream], sent.written, sent.over,
+                    sent.outcome.value if sent.outcome is not None else "",
+                    max(-OLDEST_US, sent.at_us - self.now_us)) for sent in world.flights]
+        clients = [(client.ident, client.gone, len(client.answers), self.left(client.due_us))
+                   for client in world.clients]
+        timers = sorted((self.left(at_us), timer.what.__name__) for at_us, _, timer in world.timers.heap
+                        if not timer.cancelled)
+        return (flights, clients, timers, world.changes, world.gone,
+                sorted((self.rename[upstream], state.value) for upstream, state in world.states.items()),
+                sorted(map(self.server, balancer.servers.values())),
+                [self.asked(one) for _, one in sorted(balancer.requests.items())],
+                [self.held(one) for _, one in sorted(world.host.requests.items())],
+                balancer.buffer.event.request if balancer.buffer is not None else 0,
+                sorted((self.left(at_us), what, ident, number) for at_us, what, ident, number in balancer.wakeups),
+                self.left(balancer.armed_us), int(balancer.retries), [int(2 * pool.credit) for pool in balancer.pools])
+
+
+def digest(world: World, ways: list[Rename]) -> bytes:
+    """The same for worlds that are the same."""
+    texts = (repr(_View(world, rename).whole()) for rename in ways)
+    return hashlib.blake2b(min(texts).encode(), digest_size=12).digest()
+
+
+Digest = Callable[[World], bytes]
+
+
+def digester(model: Model) -> Digest:
+    ways = list(renamings(model))
+    return lambda world: digest(world, ways)
--- a/ryepier/cli.py
+++ b/ryepier/cli.py
@@ -8,6 +8,7 @@
 
 # name of the command: what it does, for the list of all; its module has the function of the same name
 COMMANDS = {
+    "check": "Explore all that can become of a few requests at a few converters.",
     "config": "Check configuration files.",
     "demo": "Play a small world for under 30 s and write a report of it.",
     "emulate": "Run the stand-ins of a world file alone.",
--- a/ryepier/commands/planner.py
+++ b/ryepier/commands/planner.py
@@ -4,25 +4,25 @@
 
 import asyncio
 import os
+import random
 import signal
 import sys
 from pathlib import Path
 
 import click
 
-from plovertrail.config import parse_address
+from ryepier.assembly.parts import AssemblyError, make_planner
 from ryepier.commands.config import read_operators_file
-from ryepier.commands.run import trust_rules
 from ryepier.logs import structured
-from ryepier.plan.planner import Server, Settings
+from ryepier.plan.planner import Server
 
 
-async def serve(settings: Settings) -> None:
+async def serve(server: Server) -> None:
     """Run a planner until SIGTERM or SIGINT."""
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    await Server(settings).run(stop)
+    await server.run(stop)
 
 
 @click.command()
@@ -31,16 +31,13 @@
     """Run one planner until SIGTERM."""
     operators = read_operators_file(path, os.environ)
     structured.set_up(operators.logging)
-    own = operators.planner
-    folder = Path(own.snapshots) if own.snapshots else None
-    if folder is not None and not folder.is_dir():
-        print(f"ryepier planner: planner.snapshots: no folder {folder}", file=sys.stderr)
+    try:
+        server = make_planner(operators, random.getrandbits(64))
+    except AssemblyError as error:
+        print(f"ryepier planner: {error}", file=sys.stderr)
         sys.exit(2)
-    settings = Settings(own.name, parse_address(own.listen),
-                        {name: parse_address(text) for name, text in own.peers.items()}, trust_rules(operators),
-                        own.tenant_shares, own.class_limits, own.most_forwarders, folder)
     try:
-        asyncio.run(serve(settings))
+        asyncio.run(serve(server))
     except OSError as error:
-        print(f"ryepier planner: {own.listen}: {error}", file=sys.stderr)
+        print(f"ryepier planner: {operators.planner.listen}: {error}", file=sys.stderr)
         sys.exit(1)
--- a/ryepier/commands/sim.py
+++ b/ryepier/commands/sim.py
@@ -16,6 +16,7 @@
 from ryepier.experiments import figures, judge, planted
 from ryepier.experiments import hunt as search
 from ryepier.experiments import worlds as shipped
+from ryepier.experiments.coverage import LEGEND, Coverage
 
 plant_option = click.option("--plant", default="", help="A mistake put in on purpose, to see that it is found.")
 
@@ -68,20 +69,35 @@
 def hunt(seeds: int, first: int, out: Path, plant: str) -> None:
     """Draw worlds from seeds, play them on all cores, and keep what broke a rule."""
     check_plant(plant)
-    begun, finds = time.monotonic(), 0
-    for number, find in enumerate(search.hunt(range(first, first + seeds), plant)):
+    begun, finds, coverage = time.monotonic(), 0, Coverage()
+    out.mkdir(parents=True, exist_ok=True)
+    for number, played in enumerate(search.hunt(range(first, first + seeds), plant)):
+        coverage.add(played.coverage)
+        find = played.find
         if find is not None:
             finds += 1
-            out.mkdir(parents=True, exist_ok=True)
             path = out / f"find-{plant + '-' if plant else ''}{find.seed}.json"
             search.save(find, path)
             print(f"{path}: world {number + 1}: {find.first}", flush=True)
     took_s = time.monotonic() - begun
+    (out / "coverage.json").write_text(json.dumps(coverage.as_lists()))
+    print_table(coverage)
     rate = seeds * search.LENGTH_S / took_s
     print(f"{seeds} worlds, {finds} that broke a rule, {rate:.0f} simulated seconds a second")
     sys.exit(1 if finds else 0)
 
 
+def print_table(coverage: Coverage) -> None:
+    """How often what struck met which state."""
+    rows = coverage.rows()
+    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
+    for row in rows:
+        print("  ".join(text.ljust(width) if column == 0 else text.rjust(width)
+                        for column, (text, width) in enumerate(zip(row, widths, strict=True))))
+    for state, meaning in LEGEND.items():
+        print(f"{state}: {meaning}")
+
+
 @sim.command()
 @click.argument("path", type=click.Path(path_type=Path))
 def replay(path: Path) -> None:
--- a/ryepier/commands/slices.py
+++ b/ryepier/commands/slices.py
@@ -14,15 +14,15 @@
 import click
 
 from glenkeel.interface import UpstreamsUpdated
-from plovertrail import config as platform
+from plovertrail.host import clock_us
+from ryepier.assembly.parts import namespace_of
 from ryepier.commands.config import read_operators_file
-from ryepier.conf import operators as conf
 from ryepier.logs import structured
-from ryepier.slices.client import POD, AccessError, find_access, make_client
+from ryepier.slices.client import AccessError, find_access, make_client
 from ryepier.slices.listing import Rules
 from ryepier.slices.merge import RANKS, Merger, Verdict, Word
 from ryepier.slices.reflect import Apply, Delete, Replace
-from ryepier.slices.source import Settings, SliceSource, clock_us
+from ryepier.slices.source import Settings, SliceSource
 
 RULE_TEXTS = {
     1: "all slices that hold it say the same", 3: "it was seen terminating, and a pod never comes back from that",
@@ -31,26 +31,6 @@
 WITHIN_S = 30.0
 
 
-def namespace_of(slices: conf.Slices) -> str:
-    """As named, or else the pod's own. Raises AccessError."""
-    if slices.namespace:
-        return slices.namespace
-    try:
-        return (POD / "namespace").read_text(encoding="ascii").strip()
-    except OSError:
-        raise AccessError("slices.namespace is not set, and this is no pod that would tell") from None
-
-
-def source_settings(slices: conf.Slices, config: platform.Config) -> Settings:
-    """What a sidecar's source is told. Raises AccessError."""
-    access = find_access(slices.server, slices.token_file, slices.ca_file, slices.client_cert_file,
-                         slices.client_key_file)
-    rules = Rules(config.zones, len(config.kinds), slices.cell, slices.settle_ms * 1000)
-    return Settings(access, namespace_of(slices), slices.service, rules, slices.port, slices.watch_s,
-                    slices.hold_s * 1_000_000, Path(slices.cache) if slices.cache else None,
-                    not config.settings.list_on_request, config.seed)
-
-
 def reading_settings(path: Path | None, service: str) -> Settings:
     """What a command that only reads is told; ends with 2 where the settings are not enough."""
     operators = read_operators_file(path, os.environ)
@@ -150,7 +130,7 @@
         def listener(event: UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
             print_event(event, addresses, {ident: uid for uid, ident in source.idents().items()}, as_json)
 
-        source = SliceSource(settings, listener)
+        source = SliceSource(settings, listener, clock_us)
         source.start()
         return source
 
--- a/ryepier/emulator/apiserver.py
+++ b/ryepier/emulator/apiserver.py
@@ -10,12 +10,13 @@
 import base64
 import json
 import ssl
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from plovertrail import system
+
 GROUP = "/apis/discovery.k8s.io/v1"
 LONGEST_HEAD = 16 * 1024
 SERVICE_LABEL = "kubernetes.io/service-name"
@@ -167,7 +168,7 @@
         self.faults = Faults()
         self.calls: list[str] = []  # the targets, as they were asked for
         self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
+        self.writers: dict[asyncio.StreamWriter, None] = {}  # in the order of their coming, which a set has not
         self.news = asyncio.Event()
 
     async def listen(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
@@ -192,7 +193,7 @@
         self.end_connections()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers.add(writer)
+        self.writers[writer] = None
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -202,7 +203,7 @@
         except asyncio.CancelledError:
             pass  # the end of the loop; asyncio would tell of it as of a failure
         finally:
-            self.writers.discard(writer)
+            self.writers.pop(writer, None)
             writer.close()
 
     async def answer(self, head: list[str], writer: asyncio.StreamWriter) -> None:
@@ -256,11 +257,11 @@
             version = self.store.version
             first = self.store.select(namespace, wanted)
         bookmarks = query.get("allowWatchBookmarks") in ("1", "true", "True")
-        watch = Watch(writer, namespace, wanted, version, bookmarks, time.monotonic() + timeout_s)
+        watch = Watch(writer, namespace, wanted, version, bookmarks, system.monotonic() + timeout_s)
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
         for one in first:
             await self.write_event(watch, "ADDED", one)
-        while time.monotonic() < watch.ends and not writer.is_closing():
+        while system.monotonic() < watch.ends and not writer.is_closing():
             news = self.news  # before looking: what changes while it writes must not be slept through
             if not self.faults.silent:
                 try:
@@ -268,7 +269,7 @@
                 except ApiError as error:
                     await self.write_event(watch, "ERROR", error.status)
                     break
-            left_s = min(self.bookmark_s, watch.ends - time.monotonic())
+            left_s = min(self.bookmark_s, watch.ends - system.monotonic())
             try:
                 async with asyncio.timeout(max(0.0, left_s)):
                     await news.wait()
--- a/ryepier/emulator/clients.py
+++ b/ryepier/emulator/clients.py
@@ -142,8 +142,12 @@
         flight, self.flight = self.flight, None
         if flight is None:
             return
-        if not self.heard and self.answered > 0 and not flight.again:
-            # the close may have crossed the request, which then was never read: sent once more, on a new connection
+        item, now_us = flight.item, flight.host.clock.now_us()
+        item.crossed = not self.heard and self.answered > 0
+        if item.crossed and not flight.again and may_retry(
+                flight.host.world.classes[item.request_class], "broken", item.sent_us, now_us):
+            # the close may have crossed the request, which then was never read: sent once more, on a new connection,
+            # if it does no harm should it have been
             flight.again = True
             flight.start(fresh=True)
         else:
--- a/ryepier/emulator/converters.py
+++ b/ryepier/emulator/converters.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from plovertrail import system
 from ryepier.emulator import draws, graphql, machine
 from ryepier.emulator.process import Clock, LatenessMeter, Plan
 from ryepier.emulator.records import NEVER, Attempt, AttemptEnding, Happening, RoleRecords
@@ -55,14 +56,12 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.heard_us = self.server.clock.now_us()
-        self.server.lines.add(self)
+        self.server.lines[self] = None
         self.server.connected()
 
     def data_received(self, data: bytes) -> None:
         server = self.server
         self.heard_us = server.clock.now_us()
-        if server.fault == "cut":
-            return  # it never arrives
         if self.first_us == NEVER:
             self.first_us = self.heard_us
         try:
@@ -102,6 +101,8 @@
         return self.transport is None or self.transport.is_closing()
 
     def write(self, data: bytes) -> None:
+        if self.server.fault == "cut":
+            return  # nor does anything leave
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
@@ -127,7 +128,7 @@
         self.end_attempt("closed")
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.server.lines.discard(self)
+        self.server.lines.pop(self, None)
         self.end_attempt("closed")
 
 
@@ -145,7 +146,8 @@
         self.work_of = {kind.name.encode(): kind for kind in world.classes}
         self.fault = ""
         self.fault_share = 1.0
-        self.lines: set[Line] = set()
+        self.fault_via: int | None = None
+        self.lines: dict[Line, None] = {}  # in the order of their coming, which a set has not
         self.server: asyncio.Server | None = None
         self.blocked: list[socket.socket] = []
         self.open: dict[int, tuple[Line, Attempt]] = {}  # by token
@@ -163,6 +165,8 @@
 
     def strikes(self, ident: bytes) -> bool:
         """Whether the present fault strikes this request here: always the same for the same one."""
+        if self.fault_via is not None and self.host.sidecar_of(ident) != self.fault_via:
+            return False
         return zlib.crc32(ident + self.instance.uid.encode()) < self.fault_share * 2**32
 
     # What comes in
@@ -195,10 +199,15 @@
         self.host.records.attempts.append(attempt)
         line.end_attempt("closed")  # hazard: a second request on a busy connection must not lose the first's record
         line.attempt = attempt
+        if self.fault == "cut":
+            return  # it has been sent, and never arrives
         if line.crowded:
             self.reply(line, 503, b"", not_run=True)
             line.close()
             return
+        if self.fault == "turn-away" and self.strikes(ident.encode("latin-1")):
+            self.reply(line, 503, b"", not_run=True)
+            return
         self.last_token += 1
         self.open[self.last_token] = (line, attempt)
         memory_us = int(kind.memory_ms * 1000) if kind is not None else 0
@@ -280,7 +289,7 @@
             await self.end(step)
 
     def begin(self, step: Step) -> None:
-        self.fault, self.fault_share = step.fault, step.share
+        self.fault, self.fault_share, self.fault_via = step.fault, step.share, step.via
         now_us = self.clock.now_us()
         if step.fault == "hang":
             self.machine.hang(now_us)
@@ -321,9 +330,9 @@
         """New connections never come up: nobody accepts, and the listener's queue is full."""
         self.close_listener()
         address = self.host.plan.converter_address(self.instance.index)
-        listener = socket.create_server(address, backlog=0)
+        listener = system.listen(address, 0)
         self.blocked = [listener]
-        for _ in range(FILLERS):
+        for _ in range(self.host.fillers):
             filler = socket.socket()
             filler.setblocking(False)
             filler.connect_ex(address)
@@ -354,13 +363,22 @@
         self.clock = clock
         self.records = RoleRecords(f"converters {plan.index}")
         self.meter = LatenessMeter(clock)
-        processes = processes or plan.world.rig.converter_processes
-        self.instances = [i for i in timeline.instances if i.machine.pod % processes == plan.index]
+        shared = processes or plan.world.rig.converter_processes
+        self.instances = [i for i in timeline.instances if i.machine.pod % shared == plan.index]
         mine = {instance.index for instance in self.instances}
         self.steps = [step for step in timeline.steps if step.who is Who.CONVERTER and step.index in mine]
+        self.fillers = 0 if processes else FILLERS  # in simulation a listener's queue may have no place at all
         self.memories: dict[int, machine.PodMemory] = {}
         self.servers: dict[int, Server] = {}
 
+        self.sidecars: list[int] = []  # of each first try, once it is asked for
+
+    def sidecar_of(self, ident: bytes) -> int:
+        """By which sidecar a request comes, as it was drawn."""
+        if not self.sidecars:
+            self.sidecars = draws.arrivals(self.plan.world, self.plan.seed).sidecar.tolist()
+        return self.sidecars[int(ident.split(b"-")[1], 16)]
+
     def happened(self, text: str) -> None:
         self.records.happenings.append(Happening(self.clock.now_us(), text))
 
--- a/ryepier/emulator/discovery.py
+++ b/ryepier/emulator/discovery.py
@@ -75,14 +75,14 @@
         self.late: list[dict[str, Any]] = []  # entries that came while it was silent
         self.server: asyncio.Server | None = None
         self.watches: dict[asyncio.StreamWriter, int] = {}  # each with the revision that it was last told
-        self.writers: set[asyncio.StreamWriter] = set()
+        self.writers: dict[asyncio.StreamWriter, None] = {}  # in the order of their coming, which a set has not
 
     async def listen(self) -> None:
         address, port = self.host.plan.discovery_address(self.sidecar)
         self.server = await asyncio.start_server(self.serve, address, port, limit=LONGEST_HEAD)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers.add(writer)
+        self.writers[writer] = None
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -90,7 +90,7 @@
         except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
             pass
         finally:
-            self.writers.discard(writer)
+            self.writers.pop(writer, None)
             self.watches.pop(writer, None)
             writer.close()
 
--- a/ryepier/emulator/process.py
+++ b/ryepier/emulator/process.py
@@ -42,10 +42,10 @@
         return f"127.{self.network}.{index // 250}.{index % 250 + 1}", CONVERTER_PORT
 
     def discovery_address(self, sidecar: int) -> tuple[str, int]:
-        return f"127.{self.network}.252.{sidecar + 1}", DISCOVERY_PORT
+        return f"127.{self.network}.252.{sidecar % 250 + 1}", DISCOVERY_PORT + sidecar // 250
 
     def sidecar_address(self, sidecar: int) -> tuple[str, int]:
-        return f"127.{self.network}.253.{sidecar + 1}", SIDECAR_PORT
+        return f"127.{self.network}.253.{sidecar % 250 + 1}", SIDECAR_PORT + sidecar // 250
 
     def planner_address(self, planner: int) -> tuple[str, int]:
         return f"127.{self.network}.254.{planner + 1}", PLANNER_PORT
--- a/ryepier/emulator/records.py
+++ b/ryepier/emulator/records.py
@@ -36,6 +36,7 @@
     answer_for: str = ""  # the request that the served body says it is for
     answer_by: str = ""  # and the converter that it says made it
     extra_bytes: int = 0  # that came after its answer without a further request
+    crossed: bool = False  # its kept connection ended before anything came: the close may have crossed the request
 
 
 class Attempt(msgspec.Struct, array_like=True):
@@ -75,6 +76,19 @@
     killed: bool = False
     crashed: bool = False  # it ended by itself, or badly
     samples: list[tuple[int, int, int]] = []  # (at_us, CPU microseconds so far, resident KiB)
+    stalls: list[tuple[int, int]] = []  # from when to when it stood still
+
+    def moved(self, zero_us: int) -> Life:
+        """The same, counted from `zero_us`."""
+        return msgspec.structs.replace(
+            self, begun_us=self.begun_us - zero_us, up_us=self.up_us - zero_us, ended_us=self.ended_us - zero_us,
+            samples=[(at_us - zero_us, cpu_us, kib) for at_us, cpu_us, kib in self.samples],
+            stalls=[(begun_us - zero_us, ended_us - zero_us) for begun_us, ended_us in self.stalls])
+
+    def stalled(self, begin_us: int, end_us: int) -> bool:
+        """Whether it stood still at any moment between the two."""
+        return any(begun_us < end_us and (ended_us == NEVER or ended_us > begin_us)
+                   for begun_us, ended_us in self.stalls)
 
 
 class Happening(msgspec.Struct, array_like=True):
--- a/ryepier/emulator/simulated.py
+++ b/ryepier/emulator/simulated.py
@@ -1,100 +1,203 @@
-"""Plays a world in simulation: the emulator's converters, discovery and clients and the real sidecars, in one process
-under virtual time. The same world and seed give the same history each time.
-
-What sockets only can show is refused: planners, stalled processes, and machines that are cut off.
+"""Plays a world in simulation: the emulator's converters, discovery and clients, the real sidecars and planners, in one
+process under virtual time. The same world and seed give the same history each time.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import contextvars
-import json
+import logging
 import tempfile
+from collections.abc import Coroutine, Iterator
 from pathlib import Path
+from typing import Any, TextIO
 
 from plovertrail import config as platform
+from plovertrail import system
 from plovertrail.__main__ import serve
-from ryepier.emulator import clients, converters, discovery, timeline
+from plovertrail.parts import PLATFORM, Parts
+from ryepier.assembly import parts as assembly
+from ryepier.conf import operators
+from ryepier.emulator import clients, converters, discovery, files, timeline
 from ryepier.emulator.process import Clock, Plan, monotonic_us
-from ryepier.emulator.records import NEVER, History, Life, join
-from ryepier.emulator.rig import BEGIN_AFTER_S, RigError, sidecar_settings
+from ryepier.emulator.records import NEVER, Happening, History, Life, join
+from ryepier.emulator.rig import BEGIN_AFTER_S, RigError
 from ryepier.emulator.role import Part
-from ryepier.emulator.timeline import Verb, Who
+from ryepier.emulator.timeline import Step, Verb, Who
 from ryepier.emulator.world import World
-from ryepier.sim.network import OWNER
+from ryepier.logs.structured import JsonLines
+from ryepier.sim.process import OWNER, Clocks
 from ryepier.sim.run import SimLoop, simulate
 
 NETWORK = 16
-UNSUPPORTED = frozenset(("planner-kill", "planner-hang", "cut"))
 START_S = 0.2  # for the sidecars to come up
 
 
-def check(world: World) -> None:
-    """Raises RigError where a world has what can't be simulated."""
-    found = sorted({fault.kind for fault in world.faults} & UNSUPPORTED)
-    if found or world.planners.count:
-        raise RigError(f"not simulated: {', '.join(found) or 'planners'}")
-    if world.discovery.slice_size or world.clients.speak_graphql or world.sidecars.storm:
-        raise RigError("not simulated: what needs an operators' file")
+class ProcessLogs(logging.Handler):
+    """A file for each process, as the rig has them; and what a process only logs though it failed is a failure of
+    the run."""
+
+    def __init__(self, loop: SimLoop, folder: Path | None) -> None:
+        super().__init__()
+        self.loop = loop
+        self.folder = folder
+        self.files: dict[str, TextIO] = {}
+        self.stack = contextlib.ExitStack()  # they stay open until the run is over
+        self.setFormatter(JsonLines())
+
+    def emit(self, record: logging.LogRecord) -> None:
+        owner = OWNER.get()
+        if not owner:
+            return
+        if record.exc_info is not None and record.exc_info[0] is not None:
+            self.loop.failures.append(f"{self.loop.now_s:.6f} s: {owner}: {record.getMessage()}: "
+                                      f"{record.exc_info[1]!r}")
+        if self.folder is not None:
+            record.created = system.unix_ns() / 1e9
+            name = owner.partition(",")[0].replace(" ", "-")
+            if name not in self.files:
+                self.files[name] = self.stack.enter_context((self.folder / f"{name}.log").open("w"))
+            self.files[name].write(self.format(record) + "\n")
+
+    def close(self) -> None:
+        self.stack.close()
+        super().close()
+
 
+@contextlib.contextmanager
+def logged(loop: SimLoop, folder: Path | None) -> Iterator[None]:
+    """The root logger's lines go to the run's own files; without a folder only failures are looked for."""
+    root = logging.getLogger()
+    before, level = root.handlers[:], root.level
+    handler = ProcessLogs(loop, folder)
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO if folder is not None else logging.ERROR)
+    try:
+        yield
+    finally:
+        handler.close()
+        root.handlers[:] = before
+        root.setLevel(level)
 
-class Sidecar:
-    """One sidecar over its lives, each a process of its own."""
 
-    def __init__(self, loop: SimLoop, index: int, config: platform.Config, clock: Clock) -> None:
+class Process:
+    """A sidecar or planner over its lives, each a process of its own, all on one machine's clocks."""
+
+    def __init__(self, loop: SimLoop, kind: str, index: int) -> None:
         self.loop = loop
+        self.kind = kind
         self.index = index
-        self.config = config
-        self.clock = clock
         self.stop = asyncio.Event()  # of its present life
         self.lives: list[Life] = []
+        self.clocks = Clocks()
         self.task: asyncio.Task[None] | None = None
 
     @property
     def owner(self) -> str:
-        return f"sidecar {self.index}, life {len(self.lives)}"
+        return f"{self.kind} {self.index}, life {len(self.lives)}"
+
+    def work(self) -> Coroutine[Any, Any, None]:
+        """What it does from its start to its end, until `stop` is set."""
+        raise NotImplementedError
 
     def start(self) -> None:
-        self.lives.append(Life(self.index, monotonic_us(), monotonic_us()))
+        now_us = monotonic_us()
+        self.lives.append(Life(self.index, now_us, now_us))
         self.stop = asyncio.Event()
+        if self.clocks != Clocks():
+            self.loop.clocks[self.owner] = self.clocks
         context = contextvars.copy_context()
         context.run(OWNER.set, self.owner)
-        self.task = self.loop.create_task(serve(self.config, self.stop, asyncio.Event()), context=context)
+        self.task = self.loop.create_task(self.work(), context=context)
 
     def kill(self) -> None:
         self.loop.kill(self.owner)
         self.lives[-1].killed, self.lives[-1].ended_us = True, monotonic_us()
 
-    def on_the_runs_clock(self) -> list[Life]:
-        zero_us = self.clock.zero_us
+    def take(self, step: Step) -> None:
+        """What the timeline does to it."""
+        life = self.lives[-1]
+        if step.verb is Verb.KILL:
+            if not life.killed:
+                self.kill()
+        elif step.verb is Verb.RESTART:
+            if life.killed:
+                self.start()
+        elif step.verb is Verb.STALL:
+            self.loop.freeze(self.owner)
+            life.stalls.append((monotonic_us(), NEVER))
+        elif step.verb is Verb.RESUME:
+            self.loop.thaw(self.owner)
+            for one in self.lives:
+                one.stalls = [(begun_us, monotonic_us() if ended_us == NEVER else ended_us)
+                              for begun_us, ended_us in one.stalls]
+        else:
+            self.loop.clocks[self.owner] = self.clocks
+            if step.verb is Verb.JUMP:
+                self.loop.jump(self.owner, step.factor)
+            else:
+                self.loop.set_rate(self.owner, step.factor if step.verb is Verb.DRIFT else 1.0)
+
+    def lives_from(self, zero_us: int) -> list[Life]:
+        """On the run's clock."""
         for life in self.lives:
-            ended_us = monotonic_us() if life.ended_us == NEVER else life.ended_us
-            life.begun_us, life.up_us, life.ended_us = (
-                life.begun_us - zero_us, life.up_us - zero_us, ended_us - zero_us)
-        return self.lives
+            if life.ended_us == NEVER:
+                life.ended_us = monotonic_us()
+        return [life.moved(zero_us) for life in self.lives]
+
+
+class Sidecar(Process):
+    def __init__(self, loop: SimLoop, index: int, config: platform.Config, parts: Parts) -> None:
+        super().__init__(loop, "sidecar", index)
+        self.config = config
+        self.parts = parts
+
+    def work(self) -> Coroutine[Any, Any, None]:
+        return serve(self.config, self.stop, asyncio.Event(), self.parts)
+
+
+class Planner(Process):
+    def __init__(self, loop: SimLoop, index: int, settings: operators.Operators, seed: int) -> None:
+        super().__init__(loop, "planner", index)
+        self.settings = settings
+        self.seed = seed
+
+    async def work(self) -> None:
+        made = assembly.make_planner(self.settings, self.seed * 1000 + len(self.lives))
+        await made.run(self.stop)
 
 
 class Simulation:
     """One run."""
 
     def __init__(self, world: World, seed: int, folder: Path) -> None:
-        check(world)
+        if world.sidecars.count == 0:
+            raise RigError("not simulated: a world without sidecars")
         self.world = world
         self.seed = seed
         self.folder = folder
 
-    def configurations(self, plan: Plan, built: timeline.Timeline) -> list[platform.Config]:
-        listing = discovery.first_list(plan, built)
+    def sidecars(self, loop: SimLoop, plan: Plan, built: timeline.Timeline) -> list[Sidecar]:
         made = []
-        for index in range(self.world.sidecars.count):
-            listen, agent = plan.sidecar_address(index), plan.discovery_address(index)
+        for index, text in enumerate(files.platform_files(plan, built)):
             path = self.folder / f"sidecar-{index}.json"
-            path.write_text(json.dumps({
-                "name": f"n{index}", "listen": f"{listen[0]}:{listen[1]}", "discovery": f"{agent[0]}:{agent[1]}",
-                "seed": f"{self.seed * 1000 + index:x}", "known": listing,
-                "limits": {"sockets": self.world.sidecars.sockets},
-                "settings": sidecar_settings(self.world, index)}))
-            made.append(platform.load(str(path)))
+            path.write_text(text)
+            config, parts = platform.load(str(path)), PLATFORM
+            if files.has_operators_file(self.world):
+                said = operators.parse(files.operators_text(plan), files.operators_environment(plan, index))
+                assembly.check(said, config)
+                parts = assembly.parts_for(said)
+            made.append(Sidecar(loop, index, config, parts))
+        return made
+
+    def planners(self, loop: SimLoop, plan: Plan) -> list[Planner]:
+        made = []
+        for index in range(self.world.planners.count):
+            snapshots = self.folder / f"snapshots-{index}"
+            snapshots.mkdir(exist_ok=True)
+            text = files.planner_text(plan, index, snapshots if self.world.planners.snapshots else None)
+            made.append(Planner(loop, index, operators.parse(text, {}), self.seed))
         return made
 
     async def play(self, loop: SimLoop) -> History:
@@ -103,38 +206,57 @@
         clock = Clock()
         # all converters are in this one process, whatever the world says of the rig
         hosts: list[Part] = [discovery.Host(plan, clock, built), converters.Host(plan, clock, built, processes=1),
-                 clients.Host(plan, clock, built, processes=1)]
+                             clients.Host(plan, clock, built, processes=1)]
         for host in hosts:
             await host.start()
-        sidecars = [Sidecar(loop, index, made, clock) for index, made in enumerate(self.configurations(plan, built))]
-        for one in sidecars:
+        planners, sidecars = self.planners(loop, plan), self.sidecars(loop, plan, built)
+        processes: list[Process] = [*planners, *sidecars]
+        for one in processes:
             one.start()
         await asyncio.sleep(START_S)
         clock.zero_us = monotonic_us() + int(BEGIN_AFTER_S * 1e6)
         ticking = [asyncio.create_task(host.meter.tick()) for host in hosts]
-        stepping = asyncio.create_task(self.steps(built, sidecars, clock))
+        happenings: list[Happening] = []
+        stepping = asyncio.create_task(self.steps(
+            built, {Who.SIDECAR: sidecars, Who.PLANNER: planners}, clock, happenings))
         records = await asyncio.gather(*(host.run() for host in hosts))
         await stepping
         for task in ticking:
             task.cancel()
         for host, made in zip(hosts, records, strict=True):
             made.lateness = host.meter.result(made.role)
-        for one in sidecars:
+        for one in processes:
             one.stop.set()
-        await asyncio.gather(*(one.task for one in sidecars if one.task is not None))
-        return join(list(records), [life for one in sidecars for life in one.on_the_runs_clock()], [])
-
-    async def steps(self, built: timeline.Timeline, sidecars: list[Sidecar], clock: Clock) -> None:
-        """Those that are done to sidecars."""
-        for step in [step for step in built.steps if step.who is Who.SIDECAR]:
-            await asyncio.sleep(max(0.0, (step.at_us - clock.now_us()) / 1e6))
-            if step.verb is Verb.KILL:
-                sidecars[step.index].kill()
-            else:
-                sidecars[step.index].start()
+        for one in processes:
+            assert one.task is not None
+            try:
+                await one.task
+            except Exception as error:
+                loop.failures.append(f"{one.owner} ended by itself: {error!r}")
+        lives = [life for one in sidecars for life in one.lives_from(clock.zero_us)]
+        return join(list(records), lives, happenings)
+
+    async def steps(self, built: timeline.Timeline, processes: dict[Who, list[Any]], clock: Clock,
+                    happenings: list[Happening]) -> None:
+        """Those that are done to sidecars and planners."""
+        for step in built.steps:
+            if step.who in processes:
+                await asyncio.sleep(max(0.0, (step.at_us - clock.now_us()) / 1e6))
+                happenings.append(Happening(clock.now_us(), f"{step.who.value} {step.index}: {step.verb.value}"))
+                process: Process = processes[step.who][step.index]
+                process.take(step)
+
+
+def play(world: World, seed: int, folder: Path | None = None) -> History:
+    """With a folder the processes' logs are kept there. Raises RigError for a world that can't be simulated, and what
+    `simulate` raises where a run fails."""
+    with contextlib.ExitStack() as stack:
+        if folder is not None:
+            folder.mkdir(parents=True, exist_ok=True)
+        work = Path(stack.enter_context(tempfile.TemporaryDirectory()))
 
+        async def main(loop: SimLoop) -> History:
+            with logged(loop, folder):
+                return await Simulation(world, seed, work).play(loop)
 
-def play(world: World, seed: int) -> History:
-    """Raises RigError for a world that can't be simulated, and what `simulate` raises where a run fails."""
-    with tempfile.TemporaryDirectory() as folder:
-        return simulate(seed, Simulation(world, seed, Path(folder)).play)
+        return simulate(seed, main)
--- a/ryepier/emulator/slices.py
+++ b/ryepier/emulator/slices.py
@@ -119,7 +119,8 @@
             self.api.close()
         elif step.verb is Verb.UP:
             self.cluster.store.compact()  # away for so long, it keeps nothing of before
-            await self.listen()
+            if self.api.server is None:  # else two faults overlapped, and it is up again already
+                await self.listen()
         elif step.verb is Verb.BREAK:
             self.api.end_connections()
         self.api.changed()
--- a/ryepier/emulator/timeline.py
+++ b/ryepier/emulator/timeline.py
@@ -23,8 +23,10 @@
     START = "start"  # a converter's process comes up, cold
     KILL = "kill"  # a sidecar or planner: SIGKILL
     RESTART = "restart"  # it is started again
-    STALL = "stall"  # a planner: it hangs, its connections open
+    STALL = "stall"  # a sidecar or planner: it stands still, its connections open
     RESUME = "resume"
+    JUMP = "jump"  # a sidecar: its calendar is set forward or back
+    DRIFT = "drift"  # its clocks go faster or slower
     TELL = "tell"  # an agent writes a change to its sidecar
     SILENCE = "silence"  # an agent says nothing, not even heartbeats
     SPEAK = "speak"
@@ -49,10 +51,11 @@
     index: int
     verb: Verb
     fault: str = ""  # the kind of fault that brings it about
-    factor: float = 1.0
+    factor: float = 1.0  # JUMP: seconds
     share: float = 1.0
     uid: str = ""
     state: str = ""  # TELL: what the list says of the uid from now on
+    via: int | None = None  # only what comes by this sidecar
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +74,7 @@
     steps: list[Step]
 
 
-CONVERTER_FAULTS = ("hang", "refuse", "reset-before", "reset-after", "half-answer", "slow", "cut")
+CONVERTER_FAULTS = ("hang", "refuse", "reset-before", "reset-after", "half-answer", "slow", "cut", "turn-away")
 
 
 def us(seconds: float) -> int:
@@ -88,7 +91,7 @@
         self.instances = [Instance(m.index, f"c-{m.index:04x}", m, None) for m in draws.machines(world, seed)]
 
     def step(self, at_us: int, who: Who, index: int, verb: Verb, fault: Fault, uid: str = "") -> None:
-        self.steps.append(Step(at_us, who, index, verb, fault.kind, fault.factor, fault.share, uid))
+        self.steps.append(Step(at_us, who, index, verb, fault.kind, fault.factor, fault.share, uid, via=fault.via))
 
     def build(self) -> Timeline:
         for fault in self.world.faults:
@@ -101,19 +104,27 @@
             elif fault.kind == "planner-kill":
                 self.kill(fault, Who.PLANNER, self.world.planners.count)
             elif fault.kind == "planner-hang":
-                for index in draws.struck(self.world.planners.count, fault, self.random):
-                    self.step(us(fault.at_s), Who.PLANNER, index, Verb.STALL, fault)
-                    self.step(us(fault.at_s + fault.for_s), Who.PLANNER, index, Verb.RESUME, fault)
+                self.span(fault, Who.PLANNER, self.world.planners.count, Verb.STALL, Verb.RESUME)
+            elif fault.kind == "sidecar-hang":
+                self.span(fault, Who.SIDECAR, self.world.sidecars.count, Verb.STALL, Verb.RESUME)
+            elif fault.kind == "clock-drift":
+                self.span(fault, Who.SIDECAR, self.world.sidecars.count, Verb.DRIFT, Verb.END)
+            elif fault.kind == "clock-jump":
+                for index in draws.struck(self.world.sidecars.count, fault, self.random):
+                    self.steps.append(Step(us(fault.at_s), Who.SIDECAR, index, Verb.JUMP, fault.kind, fault.jump_s))
             elif fault.kind in ("discovery-down", "discovery-silent", "watch-break"):
                 self.strike_discovery(fault)
             # surges and tails are in the arrivals as drawn
         self.steps.sort(key=lambda step: step.at_us)
         return Timeline(self.instances, self.steps)
 
+    def span(self, fault: Fault, who: Who, count: int, begin: Verb, end: Verb) -> None:
+        for index in draws.struck(count, fault, self.random):
+            self.step(us(fault.at_s), who, index, begin, fault)
+            self.step(us(fault.at_s + fault.for_s), who, index, end, fault)
+
     def strike_converters(self, fault: Fault) -> None:
-        for index in draws.struck(self.world.converter_count, fault, self.random):
-            self.step(us(fault.at_s), Who.CONVERTER, index, Verb.BEGIN, fault)
-            self.step(us(fault.at_s + fault.for_s), Who.CONVERTER, index, Verb.END, fault)
+        self.span(fault, Who.CONVERTER, self.world.converter_count, Verb.BEGIN, Verb.END)
 
     def release(self, fault: Fault) -> None:
         """A rolling one: each converter drains, ends, and is replaced by a cold one under a new uid."""
--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -10,7 +10,16 @@
 from ryepier.emulator import draws, timeline
 from ryepier.emulator.timeline import Verb, Who
 from ryepier.emulator.world import Fault, World
-from ryepier.experiments import figures, graphql_front, planner_reconnect, planner_scale, planning, slicing, storms
+from ryepier.experiments import (
+    figures,
+    graphql_front,
+    planner_reconnect,
+    planner_scale,
+    planning,
+    simulation,
+    slicing,
+    storms,
+)
 from ryepier.experiments.contract import Claim, Experiment, Measured, Run, Scale
 from ryepier.experiments.worlds import load
 
@@ -206,14 +215,15 @@
                lambda scale: load("breaking-point") if scale == "small" else msgspec.structs.replace(
                    load("breaking-point"), duration_s=load("breaking-point").duration_s * FULL_LENGTH),
                _breaking_claims, ("spin",), _breaking_figures, _SAFE_RULES,
-               measured_until=lambda run: breaking_point(run)[1]),
+               measured_until=lambda run: breaking_point(run)[1], measures_cpu=True),
     Experiment("ceiling", "what the emulator offers and serves by itself, on four cores",
                lambda scale: load("ceiling"), _ceiling_claims, (), _ceiling_figures,
-               ("invented", "forged", "run-twice"), cores=4),
+               ("invented", "forged", "run-twice"), cores=4, measures_cpu=True),
     *planning.EXPERIMENTS,
     *slicing.EXPERIMENTS,
     *graphql_front.EXPERIMENTS,
     *storms.EXPERIMENTS,
 )}
 MEASURED: dict[str, Measured] = {one.name: one for one in (
-    *planner_scale.EXPERIMENTS, *planner_reconnect.EXPERIMENTS, *slicing.MEASURED, *graphql_front.MEASURED)}
+    *planner_scale.EXPERIMENTS, *planner_reconnect.EXPERIMENTS, *slicing.MEASURED, *graphql_front.MEASURED,
+    *simulation.EXPERIMENTS)}
--- a/ryepier/experiments/churn_follower.py
+++ b/ryepier/experiments/churn_follower.py
@@ -14,11 +14,12 @@
 
 from glenkeel.balance import Balancer
 from glenkeel.interface import RequestClass, Settings, UpstreamsUpdated
+from plovertrail.host import clock_us
 from ryepier.experiments import planted
 from ryepier.slices.client import Access
 from ryepier.slices.listing import Rules
 from ryepier.slices.source import Settings as SourceSettings
-from ryepier.slices.source import SliceSource, clock_us
+from ryepier.slices.source import SliceSource
 
 
 def memory_kib(what: str) -> int:
@@ -42,7 +43,7 @@
         listed.set()
 
     settings = SourceSettings(Access("127.0.0.1", port, False), "default", service, Rules(["a"], 0))
-    source = SliceSource(settings, listener)
+    source = SliceSource(settings, listener, clock_us)
     source.start()
     await listed.wait()
     print("up", flush=True)
--- a/ryepier/plan/forwarder.py
+++ b/ryepier/plan/forwarder.py
@@ -7,13 +7,12 @@
 
 import asyncio
 import logging
-import random
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from glenkeel.interface import Outcome, PlanUpdated
 from ryepier.plan.follow import Follower, Rules
+from ryepier.plan.machine import Machine
 from ryepier.plan.messages import (
     VERSION,
     Beat,
@@ -32,7 +31,7 @@
 log = logging.getLogger(__name__)
 
 ADVICE_S = 0.25  # how often advice is worked out anew, as it fades with time
-SILENT_S = 3.0  # a planner that says nothing for so long, a dozen beats, hangs: its connection is given up
+SILENT_US = 3_000_000  # a planner that says nothing for so long, a dozen beats, hangs: its connection is given up
 DIAL_S = 1.0
 FIRST_AGAIN_S = 0.2
 LONGEST_AGAIN_S = 5.0
@@ -59,10 +58,6 @@
     tenants: int
 
 
-def clock_us() -> int:
-    return time.monotonic_ns() // 1000
-
-
 class Link(asyncio.Protocol):
     """The connection to one planner."""
 
@@ -70,7 +65,7 @@
         self.forwarder = forwarder
         self.transport: asyncio.Transport | None = None
         self.frames = Frames()
-        self.heard_at = time.monotonic()
+        self.heard_us = forwarder.machine.clock_us()
         self.whole = True  # it has to be told all there is
         self.retry_s = 0.0
         self.lost = asyncio.get_running_loop().create_future()
@@ -78,11 +73,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.forwarder.links.add(self)
+        self.forwarder.links[self] = None
         transport.write(encode(Hello(VERSION, self.forwarder.settings.name, self.forwarder.boot)))
 
     def data_received(self, data: bytes) -> None:
-        self.heard_at = time.monotonic()
+        self.heard_us = self.forwarder.machine.clock_us()
         try:
             for message in self.frames.feed(data):
                 self.take(message)
@@ -116,7 +111,7 @@
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.forwarder.links.discard(self)
+        self.forwarder.links.pop(self, None)
         if not self.lost.done():
             self.lost.set_result(None)
 
@@ -124,13 +119,14 @@
 class Forwarder:
     """The part of a sidecar that reports and follows; `Host` tells it of sends and ends as its observer."""
 
-    def __init__(self, settings: Settings, sidecar: Sidecar) -> None:
+    def __init__(self, settings: Settings, sidecar: Sidecar, machine: Machine) -> None:
         self.settings = settings
         self.sidecar = sidecar
-        self.boot = time.time_ns() // 1000
+        self.machine = machine
+        self.boot = machine.unix_us()
         self.reporter = Reporter(sidecar.silent_us, sidecar.tenants)
         self.follower = Follower(settings.name, settings.rules)
-        self.links: set[Link] = set()
+        self.links: dict[Link, None] = {}  # in the order of their coming, which a set has not
         self.tasks: list[asyncio.Task[None]] = []
         self.told = PlanUpdated()
         self.names: dict[int, str] = {}
@@ -151,7 +147,7 @@
             self.learn_names()
             uid = self.names.get(upstream)
         if uid is not None:
-            self.reporter.sent(clock_us(), uid, token, class_index)
+            self.reporter.sent(self.machine.clock_us(), uid, token, class_index)
 
     def ended(self, upstream: int, token: int, outcome: Outcome, elapsed_us: int) -> None:
         uid = self.names.get(upstream)
@@ -194,18 +190,21 @@
                 bound_s = FIRST_AGAIN_S
                 await self.until_lost(link)
             least_s = link.retry_s if link is not None else 0.0
-            await asyncio.sleep(least_s + bound_s * random.random())
+            await asyncio.sleep(least_s + self.draw_s(bound_s))
             bound_s = min(LONGEST_AGAIN_S, 2 * bound_s)
 
+    def draw_s(self, bound_s: float) -> float:
+        return bound_s * self.machine.random.random()
+
     async def until_lost(self, link: Link) -> None:
         """Hazard: a planner that hangs leaves its connection open for ever."""
         while not link.lost.done():
-            await asyncio.wait([link.lost], timeout=SILENT_S / 2)
-            if time.monotonic() > link.heard_at + SILENT_S:
+            await asyncio.wait([link.lost], timeout=SILENT_US / 2e6)
+            if self.machine.clock_us() > link.heard_us + SILENT_US:
                 link.abort()
 
     async def report(self) -> None:
-        await asyncio.sleep(self.settings.report_s * random.random())  # not all forwarders at one moment
+        await asyncio.sleep(self.draw_s(self.settings.report_s))  # not all forwarders at one moment
         while True:
             self.learn_names()
             self.write_reports()
@@ -215,7 +214,7 @@
         links = list(self.links)
         if not links:
             return
-        now_us, follower = clock_us(), self.follower
+        now_us, follower = self.machine.clock_us(), self.follower
         listed = len(self.sidecar.idents())
         whole = any(link.whole for link in links)
         report = self.reporter.report(now_us, listed, follower.term, follower.age_ms(now_us), whole)
@@ -226,7 +225,7 @@
     # Plans
 
     def offer(self, plan: Plan) -> None:
-        why = self.follower.offer(clock_us(), plan, set(self.sidecar.idents()))
+        why = self.follower.offer(self.machine.clock_us(), plan, set(self.sidecar.idents()))
         if why and why != self.refused_logged:
             log.warning("a plan of %s, epoch %d, is refused: %s", plan.term.planner, plan.term.epoch, why)
         elif not why and plan.term != self.followed:
@@ -242,7 +241,7 @@
             self.tell_module()
 
     def tell_module(self) -> None:
-        now_us = clock_us()
+        now_us = self.machine.clock_us()
         event = PlanUpdated(self.follower.advice(now_us, dict(self.sidecar.idents())),
                             self.follower.tenant_worth(now_us), self.follower.class_admit(now_us))
         if event != self.told:
--- a/ryepier/plan/planner.py
+++ b/ryepier/plan/planner.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import logging
-import random
-import time
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
@@ -14,6 +12,7 @@
 from ryepier.plan.compute import Planner
 from ryepier.plan.follow import Rules
 from ryepier.plan.lead import Leadership
+from ryepier.plan.machine import Machine
 from ryepier.plan.merge import Evidence
 from ryepier.plan.messages import VERSION, Beat, Frames, Hello, Message, ProtocolError, Refusal, Report, encode
 
@@ -45,10 +44,6 @@
     folder: Path | None = None  # for its snapshot
 
 
-def clock_us() -> int:
-    return time.monotonic_ns() // 1000
-
-
 class Link(asyncio.Protocol):
     """A connection from a forwarder or a peer, or to a peer."""
 
@@ -64,7 +59,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.server.links.add(self)
+        self.server.links[self] = None
         if self.dialled:
             self.write(encode(Hello(VERSION, self.server.settings.name, self.server.boot, peer=True)))
         else:
@@ -80,7 +75,7 @@
 
     def take(self, message: Message) -> None:
         if isinstance(message, Beat):
-            self.server.leadership.beat(clock_us(), message)
+            self.server.leadership.beat(self.server.machine.clock_us(), message)
         elif isinstance(message, Refusal) and self.dialled:
             log.warning("a peer refuses: %s", message.why)
         elif isinstance(message, Hello) and self.hello is None and not self.dialled:
@@ -104,7 +99,7 @@
     def report(self, report: Report) -> None:
         """Hazard: a forwarder that reports without a pause must not take the planner's time from the others."""
         assert self.hello is not None
-        now_us = clock_us()
+        now_us = self.server.machine.clock_us()
         if now_us < self.merged_us + LEAST_GAP_US:
             self.server.counts["reports dropped"] += 1
             return
@@ -128,7 +123,7 @@
             self.transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.server.links.discard(self)
+        self.server.links.pop(self, None)
         if self.timer is not None:
             self.timer.cancel()
 
@@ -136,15 +131,16 @@
 class Server:
     """One planner."""
 
-    def __init__(self, settings: Settings) -> None:
-        now_us = clock_us()
+    def __init__(self, settings: Settings, machine: Machine) -> None:
+        now_us = machine.clock_us()
         self.settings = settings
-        self.boot = time.time_ns() // 1000  # greater with each life
+        self.machine = machine
+        self.boot = machine.unix_us()  # greater with each life
         self.evidence = Evidence(now_us)
         self.planner = Planner(settings.rules, settings.tenant_shares, settings.class_limits)
         names = sorted([settings.name, *settings.peers])
         self.leadership = Leadership(settings.name, names.index(settings.name), now_us)
-        self.links: set[Link] = set()
+        self.links: dict[Link, None] = {}  # in the order of their coming, which a set has not
         self.led = False  # at the last tick
         self.number = 0
         self.last_plan: bytes | None = None
@@ -155,7 +151,7 @@
         if self.settings.folder is None:
             return
         try:
-            kept = snapshot.load(self.settings.folder, time.time_ns() // 1_000_000, OLDEST_SNAPSHOT_MS)
+            kept = snapshot.load(self.settings.folder, self.machine.unix_us() // 1000, OLDEST_SNAPSHOT_MS)
         except (snapshot.SnapshotError, OSError) as error:
             log.warning("the snapshot is not used: %s", error)
             return
@@ -193,7 +189,7 @@
                     await asyncio.sleep(PEER_AGAIN_S)
             except OSError:
                 pass
-            await asyncio.sleep(PEER_AGAIN_S * (0.5 + random.random()))
+            await asyncio.sleep(PEER_AGAIN_S * (0.5 + self.machine.random.random()))
 
     async def work(self) -> None:
         tick = 0
@@ -201,7 +197,7 @@
             await asyncio.sleep(TICK_S)
             tick += 1
             try:
-                self.tick(clock_us(), tick)
+                self.tick(self.machine.clock_us(), tick)
             except Exception:
                 # hazard: one report of a kind that nobody thought of must not end the planning for all
                 log.exception("a plan could not be made")
@@ -247,7 +243,9 @@
     def save(self) -> None:
         if self.settings.folder is None or self.leadership.highest.epoch == 0:
             return
-        kept = snapshot.keep(clock_us(), time.time_ns() // 1_000_000, self.leadership.highest, self.planner.judged)
+        machine = self.machine
+        kept = snapshot.keep(machine.clock_us(), machine.unix_us() // 1000, self.leadership.highest,
+                             self.planner.judged)
         try:
             snapshot.save(self.settings.folder, kept)
         except OSError as error:
--- a/ryepier/sim/loop.py
+++ b/ryepier/sim/loop.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 from typing import Any
 
 MOST_TURNS = 100_000  # at one instant: a loop that never ends
@@ -46,6 +47,10 @@
     def time(self) -> float:
         return self.now_s
 
+    def at_run_time(self, when_s: float, callback: Any, *args: Any, context: contextvars.Context) -> None:
+        """By the run's own clock, whoever's code runs."""
+        asyncio.BaseEventLoop.call_at(self, when_s, callback, *args, context=context)
+
     def pass_time(self, timeout: float | None) -> None:
         """asyncio would wait for so long. Raises Stuck."""
         if timeout is None:
--- a/ryepier/slices/listing.py
+++ b/ryepier/slices/listing.py
@@ -146,7 +146,7 @@
 
     def _settled(self, now_us: int) -> Entries:
         settled = []
-        for identity in [one for one in self.waiting if self.known[one].due_us(self.rules.settle_us) <= now_us]:
+        for identity in [one for one in sorted(self.waiting) if self.known[one].due_us(self.rules.settle_us) <= now_us]:
             self.waiting.discard(identity)
             known = self.known[identity]
             known.told, known.away_us = READY, 0
--- a/ryepier/slices/merge.py
+++ b/ryepier/slices/merge.py
@@ -222,7 +222,7 @@
             self.empty_since_us = None
             self.dirty |= self.told.keys()
         found: dict[str, Verdict | None] = {}
-        for identity in self.dirty:
+        for identity in sorted(self.dirty):
             said = self.words.get(identity)
             verdict = self._decide(identity, list(said.values())) if said else None
             if verdict != self.told.get(identity):
--- a/ryepier/slices/source.py
+++ b/ryepier/slices/source.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import os
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -27,10 +26,6 @@
 Listener = Callable[[UpstreamsUpdated, dict[int, tuple[str, int]]], None]
 
 
-def clock_us() -> int:
-    return time.monotonic_ns() // 1000
-
-
 @dataclass(frozen=True, slots=True)
 class Settings:
     """What a source is told."""
@@ -66,9 +61,10 @@
 class SliceSource:
     """Follows one service's slices and tells the host; see `plovertrail.parts.Source`."""
 
-    def __init__(self, settings: Settings, listener: Listener) -> None:
+    def __init__(self, settings: Settings, listener: Listener, clock_us: Callable[[], int]) -> None:
         self.settings = settings
         self.listener = listener
+        self.clock_us = clock_us
         self.merger = Merger(settings.port, settings.hold_us)
         self.listing = Listing(settings.rules)
         self.client = make_client(settings.access, settings.namespace, settings.service, settings.watch_s,
@@ -101,7 +97,7 @@
                                        False, 1, ()) for one in cache.ready}
         self.merger.told = dict(found)
         self.merger.dirty = set(found)
-        self.tell(ListKind.CACHED, self.listing.update(clock_us(), found))
+        self.tell(ListKind.CACHED, self.listing.update(self.clock_us(), found))
 
     def start(self) -> None:
         self.task = asyncio.get_running_loop().create_task(self.client.run())
@@ -156,7 +152,7 @@
 
     def update(self, first: bool = False) -> None:
         """Tell of what changed, and see to it that what comes due by time is told, too."""
-        now_us = clock_us()
+        now_us = self.clock_us()
         entries = self.listing.update(now_us, self.merger.changes(now_us))
         if first:
             self.tell(ListKind.FULL, [one for one in self.listing.whole() if one[0].state is not UpstreamState.GONE])
@@ -174,7 +170,7 @@
             self.timer = None
         due = [at_us for at_us in (self.merger.next_us, self.listing.next_us) if at_us is not None]
         if due:
-            left_s = max(0, min(due) - clock_us() + 1) / 1e6
+            left_s = max(0, min(due) - self.clock_us() + 1) / 1e6
             self.timer = asyncio.get_running_loop().call_later(left_s, self.update)
 
     def tell(self, kind: ListKind, entries: Entries) -> None:
--- a/tests/test_graphql_front.py
+++ b/tests/test_graphql_front.py
@@ -13,7 +13,7 @@
 from plovertrail.__main__ import serve
 from plovertrail.config import Config, load
 from plovertrail.host import Host
-from ryepier.commands.run import parts_for
+from ryepier.assembly.parts import parts_for
 from ryepier.conf import operators
 from tests.net import NOT_RUN, OK, PATIENCE_S, SETTINGS, answering, configuration, free_port, request, until
 from tests.net import Upstream as Peer
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 import os
 import subprocess
 import sys
@@ -12,8 +13,10 @@
 
 import pytest
 
+from plovertrail import system
 from ryepier.sim.loop import Stuck
 from ryepier.sim.network import WINDOW
+from ryepier.sim.process import OWNER
 from ryepier.sim.run import SimLoop, SimulationError, simulate
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -196,3 +199,102 @@
     assert first == second and len(first) == 20
     assert len({line.split()[1] for line in first}) == 20  # each seed its own
     assert all(int(line.split()[2]) > 150 for line in first)
+
+
+# Processes
+
+
+def started(loop: SimLoop, owner: str, work: Awaitable[None]) -> asyncio.Task[None]:
+    """A process of its own."""
+    context = contextvars.copy_context()
+    context.run(OWNER.set, owner)
+
+    async def run() -> None:
+        await work
+
+    return loop.create_task(run(), context=context)
+
+
+def test_a_process_that_stands_still_keeps_its_connections_and_does_all_it_missed_once_it_goes_on() -> None:
+    async def main(loop: SimLoop) -> list[tuple[float, str]]:
+        seen: list[tuple[float, str]] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            seen.append((round(loop.now_s, 1), (await reader.readline()).decode().strip()))
+
+        async def work() -> None:
+            await asyncio.start_server(serve, *ADDRESS)
+            for number in range(3):
+                await asyncio.sleep(0.5)
+                seen.append((round(loop.now_s, 1), f"timer {number}"))
+
+        started(loop, "one", work())
+        await asyncio.sleep(0.7)
+        loop.freeze("one")
+        _, writer = await asyncio.open_connection(*ADDRESS)  # the kernel takes it all the same
+        writer.write(b"hello\n")
+        await asyncio.sleep(2.3)
+        assert seen == [(0.5, "timer 0")]
+        loop.thaw("one")
+        await asyncio.sleep(1.0)
+        return seen
+
+    assert sorted(simulate(1, main)) == [(0.5, "timer 0"), (3.0, "hello"), (3.0, "timer 1"), (3.5, "timer 2")]
+
+
+def test_one_that_was_killed_while_it_stood_still_does_not_go_on() -> None:
+    async def main(loop: SimLoop) -> list[str]:
+        seen: list[str] = []
+
+        async def work() -> None:
+            await asyncio.sleep(1.0)
+            seen.append("went on")
+
+        started(loop, "one", work())
+        await asyncio.sleep(0.5)
+        loop.freeze("one")
+        loop.kill("one")
+        loop.thaw("one")
+        await asyncio.sleep(2.0)
+        return seen
+
+    assert simulate(1, main) == []
+
+
+def test_a_clock_that_goes_faster_takes_its_timers_with_it_also_those_that_run() -> None:
+    async def main(loop: SimLoop) -> list[tuple[float, float]]:
+        seen: list[tuple[float, float]] = []
+
+        async def work() -> None:
+            for _ in range(2):
+                await asyncio.sleep(2.0)
+                seen.append((round(loop.now_s, 3), round(system.monotonic(), 3)))
+
+        started(loop, "one", work())
+        await asyncio.sleep(1.0)
+        loop.set_rate("one", 2.0)
+        await asyncio.sleep(5.0)
+        assert round(loop.time(), 6) == 6.0  # nobody else's
+        return seen
+
+    assert simulate(1, main) == [(1.5, 2.0), (2.5, 4.0)]
+
+
+def test_a_calendar_that_is_set_is_that_of_one_machine_and_its_steady_clock_goes_on() -> None:
+    async def main(loop: SimLoop) -> list[tuple[float, float]]:
+        seen: list[tuple[float, float]] = []
+        begun_ns = system.unix_ns()
+
+        async def work() -> None:
+            for _ in range(2):
+                seen.append((round((system.unix_ns() - begun_ns) / 1e9, 3), round(system.monotonic(), 3)))
+                await asyncio.sleep(1.0)
+
+        started(loop, "one", work())
+        await asyncio.sleep(0.5)
+        loop.jump("one", -3600.0)
+        await asyncio.sleep(2.0)
+        assert round((system.unix_ns() - begun_ns) / 1e9, 3) == 2.5
+        return seen
+
+    assert simulate(1, main) == [(0.0, 0.0), (-3599.0, 1.0)]
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -13,7 +13,7 @@
 from glenkeel.interface import Outcome, Refuse, StormUpdated, Tenant
 from plovertrail.__main__ import serve
 from plovertrail.config import load
-from ryepier.commands.run import parts_for
+from ryepier.assembly.parts import parts_for
 from ryepier.conf import operators
 from ryepier.sim.run import SimLoop, simulate
 from ryepier.storm import sketch
