--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from glenkeel.interface import (
     ListKind,
     Outcome,
@@ -11,6 +13,8 @@
     UpstreamState,
     UpstreamsUpdated,
 )
+from plovertrail import system
+from plovertrail.discovery import Directory
 from tests.world import START_US, World, settings, upstreams
 
 
@@ -113,3 +117,23 @@
     world.advance(2_000_000)
     assert world.answer(request) is not None
     assert all(t.at_us > START_US for t in world.log if isinstance(t, SetTimer))
+
+
+def test_a_start_that_lies_ahead_by_a_calendar_that_is_behind_counts_from_when_it_was_heard_of(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    now_s, behind_s = 1_000, 3_600
+    monkeypatch.setattr(system, "monotonic_ns", lambda: now_s * 10**9)
+    monkeypatch.setattr(system, "unix_ns", lambda: (10**9 + now_s - behind_s) * 10**9)
+    directory = Directory(["a"], [])
+    line = {"uid": "c", "endpoint": "10.0.0.1:9000", "az": "a", "model": "", "pod_group": 1, "state": "active",
+            "capacity_hint": 1.0, "boot_ms": (10**9 + now_s - 2) * 1000}
+
+    def started_s(known: str = "active") -> float:
+        event, _ = directory.read({"rev": 1, "all": False, "targets": [line | {"state": known}]})
+        return event.upstreams[0].started_us / 1e6
+
+    assert started_s() == now_s
+    now_s += 5
+    assert started_s() == now_s - 5  # and is not put off with each list
+    started_s("left")
+    assert started_s() == now_s  # another life of the same name
