--- a/ryepier/check/plants.py
+++ b/ryepier/check/plants.py
@@ -12,6 +12,8 @@
 from glenkeel.balance import Balancer, Request
 from plovertrail.host import Answer, Host, Result, Verdict
 
+HELD_BEFORE_US = 30_000  # a held refusal goes out so long before the client's time is out
+
 
 def second_answer() -> None:
     """What ends after the client had its answer answers once more."""
@@ -47,7 +49,7 @@
         if request is None or request.over or answer.verdict is Verdict.SERVED:
             give(self, ident, answer)
         else:
-            self._at(request.due_us, give, self, ident, answer)
+            self._at(request.due_us - HELD_BEFORE_US, give, self, ident, answer)
 
     Host._answer = answer_late  # type: ignore[method-assign]
 
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -20,8 +20,9 @@
 from glenkeel.balance import Balancer, Request, Server
 from plovertrail import __main__ as sidecar
 from plovertrail import discovery
-from plovertrail.host import Answer, Call, Host, Result, Verdict, clock_us
+from plovertrail.host import Answer, Call, Host, Result, clock_us
 from plovertrail.upstreams import Attempt, Connection, Pool
+from ryepier.check.plants import held_answer
 from ryepier.plan import compute, snapshot
 from ryepier.plan.compute import Planner
 from ryepier.plan.follow import Follower
@@ -40,7 +41,6 @@
 SPIN_US = 400  # more than a request costs a sidecar that is well
 LATE_S = 5.0
 LIES = 1000
-HELD_BEFORE_US = 30_000  # a held refusal goes out so long before the client's time is out
 
 
 def twice() -> None:
@@ -65,20 +65,6 @@
     discovery.STATES["leaving"] = api.UpstreamState.READY
 
 
-def hold() -> None:
-    """Refusals are held till near the client's time."""
-    give = Host._answer
-
-    def answer_late(self: Host, ident: int, answer: Answer) -> None:
-        request = self.requests.get(ident)
-        if request is None or request.over or answer.verdict is Verdict.SERVED:
-            give(self, ident, answer)
-        else:
-            self._at(request.due_us - HELD_BEFORE_US, give, self, ident, answer)
-
-    Host._answer = answer_late  # type: ignore[method-assign]
-
-
 def lose() -> None:
     """One answer in many is never written."""
     give, count = Host._answer, 0
@@ -330,7 +316,7 @@
 
 PLANNERS_PLANTS = frozenset(("amnesiac", "credulous"))  # mistakes of a planner; all others are a sidecar's
 PLANTS: dict[str, Callable[[], None]] = {
-    "twice": twice, "deaf": deaf, "hold": hold, "lose": lose, "blind": blind, "crowd": crowd,
+    "twice": twice, "deaf": deaf, "hold": held_answer, "lose": lose, "blind": blind, "crowd": crowd,
     "no-advice": no_advice, "spin": spin, "late-start": late_start,
     "trust-any": trust_any, "trust-none": trust_none, "amnesiac": amnesiac,
     "credulous": credulous, "liar": liar,
