Count a converter that starts again under its uid as cold anew

The mend for calendars that are behind kept when a uid was first heard of, whatever its boot time: one that started again under the same uid would have counted as warm and could have been pushed over. Found on reading the change once more; the time belongs to the boot now. The test fails without it.

--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -41,7 +41,7 @@
         self.zones = zones
         self.kinds = kinds
         self.idents: dict[str, int] = {}
-        self.heard_us: dict[str, int] = {}  # when each was first heard of
+        self.heard: dict[str, tuple[int, int]] = {}  # boot time (Unix, ms), and when that was first heard of
         self.last_ident = 0
         self.to_clock_us = clock_us() - system.unix_ns() // 1000  # from Unix time, once for all
 
@@ -57,11 +57,11 @@
         if kind is not ListKind.DELTA:
             listed = {line["uid"] for line in lines["targets"]}
             self.idents = {uid: ident for uid, ident in self.idents.items() if uid in listed}
-            self.heard_us = {uid: at_us for uid, at_us in self.heard_us.items() if uid in listed}
+            self.heard = {uid: heard for uid, heard in self.heard.items() if uid in listed}
         for line in lines["targets"]:
             if STATES[line["state"]] is UpstreamState.GONE:
                 self.idents.pop(line["uid"], None)
-                self.heard_us.pop(line["uid"], None)
+                self.heard.pop(line["uid"], None)
         event = UpstreamsUpdated(kind, entries, int(lines["rev"]))
         log.info("list %d, %s: %s", event.version, kind.value, " ".join(
             f"{line['uid']}={entry.id}:{entry.state.value}"
@@ -74,8 +74,8 @@
             self.last_ident += 1
             self.idents[uid] = self.last_ident
         boot_ms = int(line["boot_ms"])
-        # hazard: by a calendar that is behind, it has not started yet, and would count as cold for as long as that
-        latest_us = self.heard_us.setdefault(uid, clock_us())
+        if self.heard.get(uid, (None, 0))[0] != boot_ms:  # hazard: one that starts again under its uid is cold anew
+            self.heard[uid] = boot_ms, clock_us()
         return Upstream(
             id=self.idents[uid],
             state=STATES[line["state"]],
@@ -83,7 +83,8 @@
             kind=self.kinds.index(line["model"]) if line["model"] in self.kinds else len(self.kinds),
             cell=int(line["pod_group"]),
             weight=float(line["capacity_hint"]),
-            started_us=min(boot_ms * 1000 + self.to_clock_us, latest_us) if boot_ms else 0,
+            # hazard: by a calendar that is behind, it has not started yet, and would count as cold for as long
+            started_us=min(boot_ms * 1000 + self.to_clock_us, self.heard[uid][1]) if boot_ms else 0,
         ), endpoint(line["endpoint"])
 
 
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -135,5 +135,8 @@
     assert started_s() == now_s
     now_s += 5
     assert started_s() == now_s - 5  # and is not put off with each list
+    line["boot_ms"] = (10**9 + now_s - 1) * 1000  # it has started again, under its name
+    assert started_s() == now_s
+    now_s += 3
     started_s("left")
     assert started_s() == now_s  # another life of the same name
