Draw cold converters whose turn has come beside those in use

Ruled out: the cold converters' pace (7 to 12 of 36 had an open slot at any refusal), faults and full tables (0 of either), a late list. At fault: Balancer.draw looked beyond the converters in use only when none of those had a slot, and a newcomer is in nobody's use. One light sidecar always finds a slot among its own; so did all forty.

Change: cold ones whose turn has come (as paced by warmth, unchanged) are drawn among those in use.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -399,7 +399,11 @@
         some_rest = resting <= MOST_MUTE * len(self.servers)
         for pool in self.pools if self.may_send(request) else []:
             if pool.credit >= 1.0:
-                best = self.free_slots(request, pool.in_use, some_rest)
+                # hazard: a cold one in no sidecar's use would have to wait till all others are full, and be
+                # of no use while it warms; its part is small, and all sidecars together have to give it that
+                cold = [s for s in self.servers.values()
+                        if s.pool is pool and s not in pool.in_use and self.warmth(s) < 1.0]
+                best = self.free_slots(request, pool.in_use + cold, some_rest)
                 if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
                     # hazard: each sidecar connected to each upstream fills their tables of connections
                     others = [s for s in self.servers.values() if s.pool is pool and s not in pool.in_use]
