Let cold converters' part follow how they answer, and go on while others are thinned

At fault: pace_cold held each cold one to the least that the settings state, over 1.3, for the whole warm-up, whatever it answered; draw thinned cold ones with the warm ones that choked; and a turn waited for was lost.

Change: the part of cold ones starts at what they surely can do and follows their answers' times, from a 1.3rd of it up to half of what would push them over; their turns are not thinned, and half a turn is made up for. A light sidecar takes all its cold converters together: one alone answers it every few seconds.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -25,7 +25,9 @@
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
 TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
-COLD_CARE = 1.3  # a cold upstream gets so many times less than its part: its work comes in lumps
+COLD_CARE = 1.3  # a cold upstream that is slow gets so many times less than its sure part
+MOST_COLD_ROOM = 0.5  # of the overload that pushes a cold one over; the rest is for lumps
+COLD_GAIN = 0.5  # a cold one's answer moves their part by this, by the distance from the full load
 FEWEST_IN_USE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
 A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
 SLOWEST_PACE = 4.0  # an answer that takes longer beside the usual one counts as this
@@ -65,6 +67,7 @@
         self.surge = 0.0  # the same, of the last moments only
         self.faults = 0.0  # share of all attempts that failed at once or spoilt, smoothed
         self.rated_us = now_us
+        self.cold_room = 1.0  # cold ones get so many times what they surely can do
 
 
 class Server:
@@ -339,7 +342,13 @@
         load = min(2.0, elapsed_us / slow_us) if outcome in ANSWERED else 2.0
         pace = SLOWEST_PACE if faulty else elapsed_us / self.mean_us[class_index]
         server.pace += (min(max(pace, 0.1), SLOWEST_PACE) - server.pace) / PACE_MEMORY
-        if outcome in (*ANSWERED, api.Outcome.TIMEOUT, api.Outcome.FULL):
+        cold = self.warmth(server) < 1.0
+        if cold:
+            # hazard: they surely can do little, and mostly far more; what they are spared chokes the others
+            most = max(1.0, MOST_COLD_ROOM * self.settings.overload_factor)
+            room = pool.cold_room * (1.0 + COLD_GAIN * (FULL_LOAD - load))
+            pool.cold_room = min(max(room, 1.0 / COLD_CARE), most)
+        if not cold and outcome in (*ANSWERED, api.Outcome.TIMEOUT, api.Outcome.FULL):
             # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
             # are thinned, at once as queues stay for seconds, but not for one slow answer among quick ones
             pool.load += (load - pool.load) / 8
@@ -388,8 +397,15 @@
     def pace_cold(self, server: Server, part: float) -> None:
         """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool; and
         the fleet serves no more than it can, however much is asked of it."""
-        whole = sum(self.warmth(other) for other in self.servers.values() if other.pool is server.pool)
-        server.next_cold = server.pool.served + part * COLD_CARE * whole / self.warmth(server)
+        whole = sum(self.share(other) for other in self.servers.values() if other.pool is server.pool)
+        gap = part * whole / self.share(server)
+        # what it has waited for is made up for, by half a turn at most
+        server.next_cold = max(server.next_cold, server.pool.served - gap / 2) + gap
+
+    def share(self, server: Server) -> float:
+        """What an upstream gets beside a warm one."""
+        warmth = self.warmth(server)
+        return min(1.0, warmth * server.pool.cold_room) if warmth < 1.0 else 1.0
 
     def draw(self, request: Request) -> Server | None:
         """A random free slot, at one of the few upstreams that this sidecar's traffic needs, else at any; a
@@ -398,18 +414,21 @@
         resting = sum(1 for s in self.servers.values() if self.now_us < s.mute_until_us[index])
         some_rest = resting <= MOST_MUTE * len(self.servers)
         for pool in self.pools if self.may_send(request) else []:
-            if pool.credit >= 1.0:
-                # hazard: a cold one in no sidecar's use would have to wait till all others are full, and be
-                # of no use while it warms; its part is small, and all sidecars together have to give it that
-                cold = [s for s in self.servers.values()
-                        if s.pool is pool and s not in pool.in_use and self.warmth(s) < 1.0]
-                best = self.free_slots(request, pool.in_use + cold, some_rest)
+            # hazard: a cold one in no sidecar's use would have to wait till all others are full, and be of no
+            # use while it warms; its part is small, and all together have to give it that. It is paced
+            # by its turns, so it is not thinned
+            cold = [s for s in self.servers.values() if s.pool is pool and self.warmth(s) < 1.0]
+            if pool.credit < 1.0:
+                best = self.free_slots(request, cold, some_rest)
+            else:
+                warm = [s for s in pool.in_use if s not in cold]
+                best = self.free_slots(request, warm + cold, some_rest)
                 if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
                     # hazard: each sidecar connected to each upstream fills their tables of connections
                     others = [s for s in self.servers.values() if s.pool is pool and s not in pool.in_use]
                     best = self.free_slots(request, others, some_rest) or best
-                if best:
-                    return self.random.choices(best, [share for _, share in best])[0][0]
+            if best:
+                return self.random.choices(best, [share for _, share in best])[0][0]
         return None
 
     def free_slots(self, request: Request, servers: list[Server],
@@ -451,11 +470,12 @@
         return first.entry.cell == server.entry.cell
 
     def send(self, request: Request, server: Server) -> None:
+        pool = server.pool
         if self.warmth(server) < 1.0:
             self.pace_cold(server, 1.0)
+        else:
+            pool.credit = max(0.0, pool.credit - 1.0)
         server.used += 1
-        pool = server.pool
-        pool.credit = max(0.0, pool.credit - 1.0)
         since_us, pool.rated_us = self.now_us - pool.rated_us, self.now_us
         pool.rate = pool.rate * math.exp(-since_us / RATE_MEMORY_US) + 1_000_000 / RATE_MEMORY_US
         pool.surge = pool.surge * math.exp(-since_us / SURGE_MEMORY_US) + 1_000_000 / SURGE_MEMORY_US
