Pace cold converters by size and by the work sent, and keep heavy requests from them

The list says 7.0, 3.5 and 2.5 of the kinds' sizes, and requests tell their cost.

At fault: pace_cold gave each cold converter the same part, whatever its size, and counted requests, not their work.

Change: a turn goes by the upstream's size where the settings say that the list's weights are sizes, and by the request's cost beside the usual one; a request of more than four times the usual cost goes to warm ones while there are any.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -28,6 +28,7 @@
 COLD_CARE = 1.3  # a cold upstream that is slow gets so many times less than its sure part
 MOST_COLD_ROOM = 0.5  # of the overload that pushes a cold one over; the rest is for lumps
 COLD_GAIN = 0.5  # a cold one's answer moves their part by this, by the distance from the full load
+HEAVIEST_COLD = 4.0  # times the usual cost: what costs more goes to warm ones, where there are any
 FEWEST_IN_USE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
 A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
 SLOWEST_PACE = 4.0  # an answer that takes longer beside the usual one counts as this
@@ -132,6 +133,8 @@
         self.requests: dict[int, Request] = {}
         self.buffer: Request | None = None
         self.mean_us = [c.aim_us / 4 for c in settings.classes]  # of each class's answers; at first a guess
+        self.mean_cost_us = 0.0  # of requests that tell theirs,
+        self.costs_seen = 0  # and how many of late have
         self.pools = [Pool(now_us), Pool(now_us)]  # drawn from in this order; the second may stay empty
         self.retries = MOST_RETRIES  # reissues in hand
         self.short_us = 0  # when a request last found no free slot
@@ -182,6 +185,11 @@
         if event.tenant < len(self.tenant_seen):
             self.tenant_seen = [seen * (1.0 - 1.0 / TENANT_MEMORY) for seen in self.tenant_seen]
             self.tenant_seen[event.tenant] += 1.0
+        if event.cost_us > 0:
+            # a few cost many times what the others do: one of them must not move what is usual
+            self.costs_seen = min(self.costs_seen + 1, TENANT_MEMORY)
+            cost_us = min(event.cost_us, HEAVIEST_COLD * (self.mean_cost_us or event.cost_us))
+            self.mean_cost_us += (cost_us - self.mean_cost_us) / self.costs_seen
         if self.admits(event):
             self.place(request)
         else:
@@ -403,9 +411,15 @@
         server.next_cold = max(server.next_cold, server.pool.served - gap / 2) + gap
 
     def share(self, server: Server) -> float:
-        """What an upstream gets beside a warm one."""
-        warmth = self.warmth(server)
-        return min(1.0, warmth * server.pool.cold_room) if warmth < 1.0 else 1.0
+        """What an upstream gets beside a warm one, or one of size 1."""
+        warmth, size = self.warmth(server), server.entry.weight
+        if not self.settings.weighted or not 0.0 < size < math.inf:
+            size = 1.0
+        return size * (min(1.0, warmth * server.pool.cold_room) if warmth < 1.0 else 1.0)
+
+    def cost(self, request: Request) -> float:
+        """Beside the usual request's, as far as it tells."""
+        return request.event.cost_us / self.mean_cost_us if request.event.cost_us > 0 else 1.0
 
     def draw(self, request: Request) -> Server | None:
         """A random free slot, at one of the few upstreams that this sidecar's traffic needs, else at any; a
@@ -416,16 +430,18 @@
         for pool in self.pools if self.may_send(request) else []:
             # hazard: a cold one in no sidecar's use would have to wait till all others are full, and be of no
             # use while it warms; its part is small, and all together have to give it that. It is paced
-            # by its turns, so it is not thinned
+            # by its turns, so it is not thinned; and a heavy request would be the work of many of them
             cold = [s for s in self.servers.values() if s.pool is pool and self.warmth(s) < 1.0]
+            barred = cold if self.cost(request) > HEAVIEST_COLD and len(cold) < len(self.servers) else []
             if pool.credit < 1.0:
-                best = self.free_slots(request, cold, some_rest)
+                best = self.free_slots(request, [] if barred else cold, some_rest)
             else:
                 warm = [s for s in pool.in_use if s not in cold]
-                best = self.free_slots(request, warm + cold, some_rest)
+                best = self.free_slots(request, warm if barred else warm + cold, some_rest)
                 if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
                     # hazard: each sidecar connected to each upstream fills their tables of connections
-                    others = [s for s in self.servers.values() if s.pool is pool and s not in pool.in_use]
+                    others = [s for s in self.servers.values()
+                              if s.pool is pool and s not in pool.in_use and s not in barred]
                     best = self.free_slots(request, others, some_rest) or best
             if best:
                 return self.random.choices(best, [share for _, share in best])[0][0]
@@ -472,7 +488,7 @@
     def send(self, request: Request, server: Server) -> None:
         pool = server.pool
         if self.warmth(server) < 1.0:
-            self.pace_cold(server, 1.0)
+            self.pace_cold(server, self.cost(request))
         else:
             pool.credit = max(0.0, pool.credit - 1.0)
         server.used += 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -78,3 +78,21 @@
         if sent:
             world.end(request, 0, Outcome.OK)
     assert sum(1 for send in world.sends()[before:] if send.upstream <= 30) >= 15  # of 35
+
+
+def test_a_small_cold_upstream_gets_less_and_a_heavy_request_none() -> None:
+    world = light_world(weighted=True)
+    cold = [Upstream(i, weight=0.5 if i <= 15 else 2.0, started_us=world.now_us) for i in range(1, 31)]
+    world.tell_list(cold, ListKind.DELTA)
+    heavy = set()
+    for number in range(200):
+        request = world.arrive(READ, cost_us=1_000_000 if number % 10 == 0 else 20_000)
+        if number % 10 == 0:
+            heavy.add(request)
+        world.advance(30_000)
+        if world.sends(request):
+            world.end(request, 0, Outcome.OK)
+        world.advance(10_000)
+    small, large = sent_to(world, set(range(1, 16))), sent_to(world, set(range(16, 31)))
+    assert 3 * small < 2 * large and small > 0  # of equal size they would get the same
+    assert not [send for send in world.sends() if send.request in heavy and send.upstream <= 30]
