Repeat failed list calls with full jitter over a span that grows with the fleet

At fault: on_list waited 250 ms for the first repeat, half of it without jitter, for however many sidecars.

Change: full jitter; the first span is 50 ms for each sidecar there is, 250 ms at least.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -52,6 +52,7 @@
 RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
 MOST_RETRIES = 5.0  # reissues in hand after a calm spell
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
+CALL_GAP_US = 50_000  # between the fleet's calls at first: twenty a second
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
 
 
@@ -627,10 +628,13 @@
     def on_list(self, event: api.UpstreamsUpdated) -> None:
         if event.kind is api.ListKind.FAILED:
             self.list_failures += 1
-            # doubles with each failure; jittered, as all sidecars fail together; inside ask-within (rule 3)
+            # hazard: all sidecars fail together, and discovery serves few calls at once; what comes again
+            # soon waits behind the others and fails again: so full jitter, over a span that grows with the
+            # fleet and doubles with each failure, inside ask-within (rule 3)
             longest_us = max(1, self.settings.ask_within_us // 2)
-            backoff_us = min(FIRST_RETRY_US * 2 ** min(self.list_failures - 1, 20), longest_us)
-            self.ask_list_at(self.now_us + int(backoff_us * (0.5 + self.random.random() / 2)))
+            first_us = max(FIRST_RETRY_US, CALL_GAP_US * self.settings.instances)
+            span_us = min(first_us * 2 ** min(self.list_failures - 1, 20), longest_us)
+            self.ask_list_at(self.now_us + int(span_us * self.random.random()))
             return
         if event.kind is not api.ListKind.CACHED:
             self.list_failures = self.ask_list_us = 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from glenkeel.interface import ListKind, Outcome, Upstream
+import pytest
+
+from glenkeel.interface import ListKind, Outcome, Subscribe, Upstream, UpstreamsUpdated
 from tests.world import World, settings, upstreams
 
 READ, PAY = 0, 1
@@ -96,3 +98,24 @@
     small, large = sent_to(world, set(range(1, 16))), sent_to(world, set(range(16, 31)))
     assert 3 * small < 2 * large and small > 0  # of equal size they would get the same
     assert not [send for send in world.sends() if send.request in heavy and send.upstream <= 30]
+
+
+def first_asks_us(world: World) -> int:
+    """How long after a failed call the list is asked for again."""
+    world.tell_list(upstreams(4), ListKind.CACHED)
+    world.advance(2_000_000)
+    failed_us, before = world.now_us, len(world.log)
+    world.tell(UpstreamsUpdated(ListKind.FAILED))
+    while not any(isinstance(action, Subscribe) for action in world.log[before:]):
+        world.advance(10_000)
+    return world.now_us - failed_us
+
+
+@pytest.mark.parametrize(("sidecars", "longest_us"), [(3, 260_000), (40, 2_010_000)])
+def test_sidecars_whose_list_calls_failed_together_come_again_one_by_one(sidecars: int, longest_us: int) -> None:
+    config = settings(list_on_request=True, ask_within_us=10_000_000, instances=sidecars)
+    asked = sorted(first_asks_us(World(config, seed)) for seed in range(40))
+    assert asked[-1] <= longest_us
+    quarter = longest_us // 4
+    most = max(sum(1 for at in asked if start <= at < start + quarter) for start in range(0, longest_us, quarter))
+    assert most <= 18, "40 calls over the span: about 10 in a quarter of it"
