--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,97 +7,69 @@
 from glenkeel.interface import ListKind, Outcome, Subscribe, Upstream, UpstreamsUpdated
 from tests.world import World, settings, upstreams
 
-READ, PAY = 0, 1
+PAY = 1
+COLD = range(1, 31)
 
 
-def light_world(count: int = 30, **changes: object) -> World:
-    """One of forty sidecars: it is in use of a few of many upstreams, and gets 20 requests a second."""
+def light_world(**changes: object) -> World:
+    """One of forty sidecars: it uses a few of 30 upstreams, and gets 20 requests a second."""
     world = World(settings(second_copies=False, instances=40, overload_factor=4.0, **changes))
-    world.tell_list(upstreams(count))
+    world.tell_list(upstreams(30))
     serve(world, 100)
     return world
 
 
-def serve(world: World, requests: int, took_us: int = 30_000) -> None:
-    for _ in range(requests):
-        request = world.arrive(READ)
-        world.advance(took_us)
+def serve(world: World, requests: int, took_us: int = 30_000, cold_us: int = 30_000, heavy_each: int = 0) -> int:
+    """How many went to upstreams 1 to 30, which are cold and answer in `cold_us`."""
+    sent = 0
+    for number in range(requests):
+        heavy = heavy_each > 0 and number % heavy_each == 0
+        request = world.arrive(PAY, cost_us=1_000_000 if heavy else 20_000)
+        cold = any(send.upstream in COLD for send in world.sends(request))
+        assert not (heavy and cold)
+        world.advance(cold_us if cold else took_us)
         if world.sends(request):
             world.end(request, 0, Outcome.OK)
-        world.advance(max(0, 50_000 - took_us))
+        world.advance(20_000)
+        sent += int(cold)
+    return sent
 
 
-def sent_to(world: World, idents: set[int]) -> int:
-    return sum(1 for send in world.sends() if send.upstream in idents)
+def start_cold(world: World, age_us: int = 0, small: float = 1.0) -> None:
+    entries = [Upstream(i, weight=small if i <= 15 else 1.0, started_us=world.now_us - age_us) for i in COLD]
+    world.tell_list(entries, ListKind.DELTA)
 
 
 def test_cold_upstreams_get_their_part_though_enough_warm_ones_are_in_use() -> None:
     world = light_world()
-    cold = [Upstream(i, started_us=world.now_us) for i in range(1, 31)]
-    world.tell_list(cold, ListKind.DELTA)
-    serve(world, 200)
+    start_cold(world)
     # surely, by warmth of 0.2 to 0.6, a quarter of the fleet's work is theirs; as they are quick, up to half
-    assert 50 <= sent_to(world, {entry.id for entry in cold}) <= 90
-
-
-def cold_sends_of_the_second_five_seconds(took_us: int) -> int:
-    """To half the fleet, cold anew, by a sidecar whose cold upstreams all answer in that time."""
-    world = light_world()
-    cold = [Upstream(i, started_us=world.now_us) for i in range(1, 31)]
-    world.tell_list(cold, ListKind.DELTA)
-    idents = {entry.id for entry in cold}
-    before = 0
-    for number in range(200):
-        if number == 100:
-            before = sent_to(world, idents)
-        request = world.arrive(PAY)
-        sent = world.sends(request)
-        world.advance(took_us if sent and sent[0].upstream in idents else 30_000)
-        if sent:
-            world.end(request, 0, Outcome.OK)
-        world.advance(20_000)
-    return sent_to(world, idents) - before
+    assert 50 <= serve(world, 200) <= 90
 
 
-def test_cold_upstreams_that_answer_fast_get_more_than_they_surely_can_do_and_slow_ones_less() -> None:
-    fast, slow = cold_sends_of_the_second_five_seconds(30_000), cold_sends_of_the_second_five_seconds(280_000)
-    assert fast >= 36 and slow <= 20
+def test_cold_upstreams_get_more_while_they_answer_fast_and_less_while_they_are_slow() -> None:
+    second_half = []
+    for cold_us in (30_000, 280_000):
+        world = light_world()
+        start_cold(world)
+        serve(world, 100, cold_us=cold_us)
+        second_half.append(serve(world, 100, cold_us=cold_us))
+    assert second_half[0] >= 36 and second_half[1] <= 20
 
 
-def test_cold_upstreams_whose_turn_has_come_are_sent_to_while_the_warm_ones_are_thinned() -> None:
+def test_cold_upstreams_are_sent_to_while_the_warm_ones_are_thinned() -> None:
     world = light_world()
-    for _ in range(100):  # the warm ones choke
-        request = world.arrive(PAY)
-        world.advance(290_000)
-        if world.sends(request):
-            world.end(request, 0, Outcome.OK)
-    world.tell_list([Upstream(i, started_us=world.now_us - 10_000_000) for i in range(1, 31)], ListKind.DELTA)
-    before = len(world.sends())
-    for _ in range(100):
-        request = world.arrive(PAY)
-        sent = world.sends(request)
-        world.advance(30_000 if sent and sent[0].upstream <= 30 else 290_000)
-        if sent:
-            world.end(request, 0, Outcome.OK)
-    assert sum(1 for send in world.sends()[before:] if send.upstream <= 30) >= 15  # of 35
+    serve(world, 100, took_us=290_000)
+    start_cold(world, age_us=10_000_000)
+    assert serve(world, 100, took_us=290_000) >= 15  # of 35 that are sent
 
 
-def test_a_small_cold_upstream_gets_less_and_a_heavy_request_none() -> None:
+def test_a_small_cold_upstream_gets_less_and_a_heavy_request_goes_to_none() -> None:
     world = light_world(weighted=True)
-    cold = [Upstream(i, weight=0.5 if i <= 15 else 2.0, started_us=world.now_us) for i in range(1, 31)]
-    world.tell_list(cold, ListKind.DELTA)
-    heavy = set()
-    for number in range(200):
-        request = world.arrive(READ, cost_us=1_000_000 if number % 10 == 0 else 20_000)
-        if number % 10 == 0:
-            heavy.add(request)
-        world.advance(30_000)
-        if world.sends(request):
-            world.end(request, 0, Outcome.OK)
-        world.advance(10_000)
-    small, large = sent_to(world, set(range(1, 16))), sent_to(world, set(range(16, 31)))
-    assert 3 * small < 2 * large and small > 0  # of equal size they would get the same
-    assert not [send for send in world.sends() if send.request in heavy and send.upstream <= 30]
+    start_cold(world, small=0.25)
+    serve(world, 200, heavy_each=10)
+    small = sum(1 for send in world.sends() if send.upstream <= 15)
+    assert 0 < 3 * small < 2 * sum(1 for send in world.sends() if 15 < send.upstream <= 30)
 
 
 def first_asks_us(world: World) -> int:
