--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,12 +19,13 @@
     return world
 
 
-def serve(world: World, requests: int, took_us: int = 30_000, cold_us: int = 30_000, heavy_each: int = 0) -> int:
+def serve(world: World, requests: int, took_us: int = 30_000, cold_us: int = 30_000, heavy_each: int = 0,
+          cost_us: int = 20_000) -> int:
     """How many went to upstreams 1 to 30, which are cold and answer in `cold_us`."""
     sent = 0
     for number in range(requests):
         heavy = heavy_each > 0 and number % heavy_each == 0
-        request = world.arrive(PAY, cost_us=1_000_000 if heavy else 20_000)
+        request = world.arrive(PAY, cost_us=1_000_000 if heavy else cost_us)
         cold = any(send.upstream in COLD for send in world.sends(request))
         assert not (heavy and cold)
         world.advance(cold_us if cold else took_us)
@@ -72,6 +73,15 @@
     assert 0 < 3 * small < 2 * sum(1 for send in world.sends() if 15 < send.upstream <= 30)
 
 
+def test_dearer_requests_use_up_a_cold_upstreams_turns() -> None:
+    sent = []
+    for cost_us in (20_000, 70_000):
+        world = light_world()
+        start_cold(world, age_us=5_000_000)
+        sent.append(serve(world, 200, cost_us=cost_us))
+    assert 0 < 3 * sent[1] < 2 * sent[0]
+
+
 def first_asks_us(world: World) -> int:
     """How long after a failed call the list is asked for again."""
     world.tell_list(upstreams(4), ListKind.CACHED)
