End a stopped sidecar only once all it took is answered, before the kill

At fault: LONGEST_STOP_S = 3.6 in plovertrail/__main__.py, written for deadlines of 3 s: with longer ones the process ended with requests open, which loses them; with shorter ones SIGKILL comes sooner than it reckoned with.

Changed: the time of the kill is reckoned from the classes' deadlines; the host gives what is open, and what comes late, its answer by then; what has not come whole is turned away; the process ends once nothing is owed.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -7,19 +7,23 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 
 from glenkeel.wire import WireError
 from plovertrail import config
-from plovertrail.host import Host
+from plovertrail.host import Host, clock_us
 from plovertrail.logs import RateLimit
-from plovertrail.parts import PLATFORM, Parts, Source
+from plovertrail.parts import PLATFORM, Front, Parts, Source
+from plovertrail.server import LONGEST_LINGER_S
 from plovertrail.upstreams import Pool
 
 log = logging.getLogger(__name__)
 
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
-LONGEST_STOP_S = 3.6  # SIGKILL comes 0.7 s after the longest deadline, of 3 s, at the soonest
+LONGEST_COUNTED_S = 3.0  # SIGKILL comes, at the soonest, so long after SIGTERM or, where it is shorter, the longest
+KILL_AFTER_S = 0.7  # deadline, and so much more
+KILL_MARGIN_S = 0.1  # the last answers set out so long before it
 
 
 async def follow(path: str, reload: asyncio.Event, source: Source) -> None:
@@ -54,19 +58,34 @@
         front.listen()
     await stop.wait()
     following.cancel()
-    started = loop.time()
-    for front in fronts:
-        front.stop_idle()
-    await asyncio.sleep(STILL_COMING_S)
+    await end(host, fronts)
+    for companion in companions:
+        companion.stop()
+
+
+async def end(host: Host, fronts: Sequence[Front]) -> None:
+    """Answer what is open and what still comes, each before SIGKILL. Hazard: a process that ends sooner, with a
+    request open, has lost it."""
+    loop = asyncio.get_running_loop()
+    longest_s = max(kind.deadline_us for kind in host.settings.classes) / 1e6
+    last_s = min(longest_s, LONGEST_COUNTED_S) + KILL_AFTER_S - KILL_MARGIN_S
+    last_at = loop.time() + last_s
+    host.end_by(clock_us() + int(1e6 * last_s))
+    listening_till = loop.time() + STILL_COMING_S
+    while loop.time() < listening_till:
+        for front in fronts:
+            front.stop_idle()
+        await asyncio.sleep(0.01)
     for front in fronts:
         front.stop_listening()
-        front.stop_idle()
-    while sum(front.count() for front in fronts) and loop.time() < started + LONGEST_STOP_S:
-        await asyncio.sleep(0.01)
+    while any(front.count() for front in fronts) and loop.time() < last_at:
         for front in fronts:
             front.stop_idle()
-    for companion in companions:
-        companion.stop()
+        await asyncio.sleep(0.01)
+    for front in fronts:
+        front.turn_away()
+    while host.busy or (any(front.count() for front in fronts) and loop.time() < last_at + LONGEST_LINGER_S):
+        await asyncio.sleep(0.01)
 
 
 async def run(settings: config.Config, parts: Parts = PLATFORM) -> None:
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -218,6 +218,7 @@
         self.requests: dict[int, Request] = {}
         self.addresses: dict[int, tuple[str, int]] = {}
         self.last_ident = 0
+        self.ends_us = 0  # when the process ends; 0 = not yet known
         self.events: deque[api.Event] = deque()
         self.running = False
         self.balancer = Balancer(settings, seed, clock_us())
@@ -232,6 +233,8 @@
         """A request has been taken; `reply` is called once with its answer unless the client goes first."""
         self.last_ident += 1
         due_us = call.arrived_us + max(1, call.deadline_us - ANSWER_MARGIN_US)
+        if self.ends_us:
+            due_us = min(due_us, self.ends_us)
         request = Request(self.last_ident, call, due_us, reply)
         self.requests[request.ident] = request
         # hazard: whatever becomes of the module's own timers, no client is left without an answer
@@ -273,6 +276,19 @@
         """There is a new word on clients' retries."""
         self._tell(event)
 
+    def end_by(self, at_us: int) -> None:
+        """The process ends then: what is open and what still comes has its answer by then."""
+        self.ends_us = at_us
+        for request in self.requests.values():
+            if request.timer is not None and request.due_us > at_us:
+                request.timer.cancel()
+                request.timer = self._at(at_us, self._overdue, request)
+
+    @property
+    def busy(self) -> bool:
+        """Whether an answer is owed."""
+        return any(not request.over for request in self.requests.values())
+
     def observe(self, observer: Observer) -> None:
         """Be told, beside those who are already."""
         self.observer = observer if self.observer is None else Observers(self.observer, observer)
--- a/plovertrail/parts.py
+++ b/plovertrail/parts.py
@@ -44,7 +44,10 @@
         """Close what carries no request; what does, closes with its answer."""
 
     def stop_listening(self) -> None:
-        """Take no more connections."""
+        """Take the connections that have come, and no more."""
+
+    def turn_away(self) -> None:
+        """Answer what has not come whole, as there is no time left for it."""
 
     def count(self) -> int:
         """How many connections are open."""
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -499,3 +499,10 @@
             self.loop.remove_reader(self.sock)
             self.sock.close()
             self.sock = None
+
+    def turn_away(self) -> None:
+        """Hazard: what has not come whole may come whole at the last moment, and would be lost."""
+        for state in (State.FRESH, State.READING):
+            for client in list(self.clients[state]):
+                if client.transport is not None:
+                    client.write(503, b"", last=True)
--- a/tests/net.py
+++ b/tests/net.py
@@ -243,6 +243,19 @@
             discovery.stop()
 
 
+def status(answer: tuple[bytes, bytes]) -> int:
+    return int(answer[0].split(b" ")[1])
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """One test, with a bound on its time."""
+    async def limited() -> None:
+        async with asyncio.timeout(3 * PATIENCE_S):
+            await test()
+
+    asyncio.run(limited())
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Wait until it holds."""
     async with asyncio.timeout(PATIENCE_S):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -28,8 +27,10 @@
     listing,
     read_message,
     request,
+    run,
     sidecar,
     silent,
+    status,
     until,
 )
 
@@ -37,18 +38,6 @@
 BARE_503 = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 
-def status(answer: tuple[bytes, bytes]) -> int:
-    return int(answer[0].split(b" ")[1])
-
-
-def run(test: Callable[[], Awaitable[None]]) -> None:
-    async def limited() -> None:
-        async with asyncio.timeout(3 * PATIENCE_S):
-            await test()
-
-    asyncio.run(limited())
-
-
 # Answers and outcomes
 
 
@@ -703,7 +692,9 @@
             return sum(len(upstream.requests) for upstream in upstreams)
 
         async with sidecar(*upstreams) as it:
-            idle_reader, idle_writer = await it.connect()
+            idle_reader, idle_writer = await it.connect()  # it has had an answer: nothing new is on its way
+            idle_writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+            await read_message(idle_reader)
             reader, writer = await it.connect()
             writer.write(request(ident="1"))
             await until(lambda: total() == 1)
