Close no connection of the application that brings a request or still has an answer to write

Read in the review, then made to happen by tests: (1) closing the listener resets connections that wait to be taken, with their requests; (2) at SIGTERM connections that had just come up were closed before their first request, which counts as refused and, beyond one in 200, as lost; (3) a connection with part of its answer still in the process was aborted by a stop, by make_room or after its linger, and the answer cut short.

At fault: Server.stop_listening, Server.stop_idle, Server.make_room and Client.overdue looked at what had come and not at what was on its way out or waited in the listener's queue.

tests/test_moments.py: three orders, each seen to fail without the change.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -25,8 +25,10 @@
 LONGEST_SLOW_S = 6.0  # or so long, as long as its bytes keep coming
 LONGEST_PAUSE_S = 0.8
 LONGEST_IDLE_S = 60.0
+LONGEST_UNREAD_S = 5.0  # and so long more while part of an answer waits for its client to read on
 LONGEST_LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
 MOST_DISCARDED = 64 * 1024  # of what still comes on such a connection; the rest is not even read
+FIRST_COMES_S = 0.25  # who connects sends at once; later nothing is on its way
 SWEEP_S = 0.1
 ACCEPTS_A_TURN = 16  # hazard: hundreds of connections at once would keep what is open waiting
 NO_ROOM_S = 0.05
@@ -188,7 +190,7 @@
 
 
 # who makes room: (state, for how long it has been in it, whether half a request may have come)
-LEAST_USE = ((State.ENDING, 0.0, True), (State.FRESH, 0.25, False), (State.IDLE, 2.0, True),
+LEAST_USE = ((State.ENDING, 0.0, True), (State.FRESH, FIRST_COMES_S, False), (State.IDLE, 2.0, True),
              (State.FRESH, 0.0, False), (State.IDLE, 0.0, True), (State.FRESH, 0.0, True),
              (State.READING, 0.0, True))
 
@@ -350,6 +352,11 @@
         self.server.move(self, State.ENDING)
         self.transport.write_eof()
 
+    def flushed(self) -> bool:
+        """Whether all that was written has left the process. Hazard: what has not is lost with the connection, and
+        the answer cut short."""
+        return self.transport is None or self.transport.get_write_buffer_size() == 0
+
     def quiet(self) -> bool:
         """Whether nothing has come that was not read yet."""
         try:
@@ -369,7 +376,9 @@
             now = system.monotonic()
             if now > min(self.heard + LONGEST_PAUSE_S, self.since + LONGEST_SLOW_S):
                 self.write(408, b"", last=True)
-        elif self.state is State.ENDING or self.quiet():
+            return
+        patient = system.monotonic() < self.since + LONGEST_S[self.state] + LONGEST_UNREAD_S
+        if (self.flushed() or not patient) and (self.state is State.ENDING or self.quiet()):
             self.close()
 
 
@@ -410,8 +419,11 @@
     def accept(self) -> None:
         """Take what waits, in small lots. Hazard: asyncio's own server takes all that waits at once, and with
         no descriptor left it stops for a second."""
+        self.accept_some(ACCEPTS_A_TURN)
+
+    def accept_some(self, most: int) -> None:
         assert self.sock is not None
-        for _ in range(ACCEPTS_A_TURN):
+        for _ in range(most):
             if self.count() >= self.most_clients and not self.make_room():
                 self.pause()
                 return
@@ -456,7 +468,7 @@
             for client in self.clients[state]:
                 if client.since > now - age_s:
                     break
-                if (client.transport is not None and (half or client.size == 0)
+                if (client.transport is not None and (half or client.size == 0) and client.flushed()
                         and (state is State.ENDING or client.quiet())):
                     client.close()
                     self.remove(client)
@@ -487,15 +499,20 @@
                 client.overdue()
 
     def stop_idle(self) -> None:
-        """From now on each answer is the last one of its connection; idle connections close."""
+        """From now on each answer is the last one of its connection; idle connections close, but for those whose
+        first request is surely on its way."""
         self.stopping = True
+        young = system.monotonic() - FIRST_COMES_S
         for state in (State.IDLE, State.FRESH):
             for client in list(self.clients[state]):
-                if client.size == 0 and client.transport is not None and client.quiet():
+                if (client.size == 0 and client.transport is not None and client.flushed() and client.quiet()
+                        and (state is State.IDLE or client.since <= young)):
                     client.close()
 
     def stop_listening(self) -> None:
+        """Hazard: closing the listener resets what waits to be taken, and the request that it brings."""
         if self.sock is not None:
+            self.accept_some(self.most_clients)
             self.loop.remove_reader(self.sock)
             self.sock.close()
             self.sock = None
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -7,9 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+
+import pytest
 
 from glenkeel.interface import RequestClass
-from tests.net import Upstream, read_message, request, run, sidecar, silent, status, until
+from plovertrail import system
+from plovertrail.server import Client, Server
+from tests.net import OK, Upstream, answering, read_message, request, run, sidecar, silent, status, until
 
 SHORT = [RequestClass("pay", aim_us=200_000, deadline_us=400_000, effect="at_most_once")]
 
@@ -67,3 +72,96 @@
             await it.task
 
     run(test)
+
+
+def test_a_request_on_a_connection_that_waits_to_be_taken_when_listening_stops_is_answered(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    late: list[socket.socket] = []
+    stop_listening = Server.stop_listening
+
+    def crossed(self: Server) -> None:
+        for _ in range(40):  # more than are taken in one turn
+            late.append(socket.create_connection(self.address))
+            late[-1].sendall(request())
+        stop_listening(self)
+
+    monkeypatch.setattr(Server, "stop_listening", crossed)
+
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            it.stop.set()
+            await it.task
+        for sock in late:
+            assert sock.recv(100).startswith(b"HTTP/1.1 ")
+            sock.close()
+
+    run(test)
+
+
+def test_a_connection_that_has_just_come_up_when_told_to_stop_may_send_its_first_request(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    told = asyncio.Event()
+    stop_idle = Server.stop_idle
+
+    def crossed(self: Server) -> None:
+        stop_idle(self)
+        told.set()
+
+    monkeypatch.setattr(Server, "stop_idle", crossed)
+
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            await asyncio.sleep(0.3)  # what came to see whether it is up is young no more
+            made = len(clients)
+            reader, writer = await it.connect()
+            await until(lambda: len(clients) > made)
+            it.stop.set()
+            await told.wait()
+            writer.write(request())
+            assert status(await read_message(reader)) == 200
+            writer.close()
+            await it.task
+
+    clients: list[Client] = []
+    connection_made = Client.connection_made
+
+    def seen(self: Client, transport: asyncio.BaseTransport) -> None:
+        connection_made(self, transport)
+        clients.append(self)
+
+    monkeypatch.setattr(Client, "connection_made", seen)
+    run(test)
+
+
+def test_an_answer_that_its_client_has_not_read_yet_is_not_cut_short_by_a_stop(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    listen = system.listen
+
+    def narrow(address: tuple[str, int], backlog: int) -> socket.socket:
+        sock = listen(address, backlog)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return sock
+
+    monkeypatch.setattr(system, "listen", narrow)
+    size = 60_000
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        upstream = Upstream(answering(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size))
+        async with sidecar(upstream) as it:
+            with socket.socket() as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                sock.setblocking(False)
+                await loop.sock_connect(sock, ("127.0.0.1", it.port))
+                await loop.sock_sendall(sock, request())
+                await until(lambda: len(upstream.requests) == 1)
+                await asyncio.sleep(0.3)  # the answer is on its way, and more than fits
+                it.stop.set()
+                await asyncio.sleep(0.7)
+                got = b""
+                while data := await loop.sock_recv(sock, 65_536):
+                    got += data
+            assert len(got.partition(b"\r\n\r\n")[2]) == size
+            await it.task
+
+    run(test)
