Write no keyed request again once its window is over, however late its connection comes up

Ruled out: the module's own check (Balancer.may_send) at the decision, and the group: tests/test_rules.py hold both. What is left is the time between decision and write, which only a dial can stretch.

At fault: Connection.connection_made wrote whatever waited for it. Changed: a send says until when it may be written (Send.latest_us, from the class's memory-span), and a connection that comes up later takes its place among the idle.

tests/test_moments.py makes the connection come up after the window; it was seen to fail without the change. The drain told during a dial was found sound and has a test now.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -501,17 +501,23 @@
         # one budget for all that is sent again: in a storm a client's own retry earns none
         earns = RETRY_SHARE if not self.storm.active or request.event.tries == 0 else 0.0
         self.retries = min(MOST_RETRIES, self.retries + (earns if not request.attempts else -1.0))
+        latest_us = self.latest_write_us(request)
         attempt = Attempt(server, request.event.class_index, self.now_us)
         request.attempts.append(attempt)
         server.out.append(attempt)
         silent_us = self.now_us + self.silent_after_us(attempt.class_index)
         self.wake(silent_us, "silence", request.event.request, len(request.attempts) - 1)
-        self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
+        self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request), latest_us))
         if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
             index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
             after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
             self.wake(self.now_us + after_us, "copy", request.event.request)
 
+    def latest_write_us(self, request: Request) -> int:
+        """Rule 2: a connection may take its time to come up, while upstreams forget what they are to drop."""
+        first, kind = request.first_that_may_have_run(), self.class_of(request)
+        return first.sent_us + kind.memory_us if first is not None and kind.effect == "deduplicated" else 0
+
     def silent_after_us(self, class_index: int) -> int:
         """Few answers take longer than the aim, unless the upstream is slow to all. Hazard: sooner, what
         an overload makes slow would be taken for lost."""
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -259,6 +259,7 @@
     request: int
     upstream: int
     timeout_us: int = 0  # 0 = until the client quits
+    latest_us: int = 0  # it must not be written later, however long its connection takes; 0 = no such time
 
 
 @dataclass(slots=True)
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -93,8 +93,9 @@
     """The side of the upstreams."""
 
     def start(self, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
-              ended: Callable[[Result], None]) -> Flight:
-        """Begin an attempt. `ended` is called once, later, unless the attempt is given up first."""
+              ended: Callable[[Result], None], latest_us: int = 0) -> Flight:
+        """Begin an attempt; nothing of it is written after `latest_us`, unless that is 0. `ended` is called once,
+        later, unless the attempt is given up first."""
 
     def close_idle(self, upstream: int) -> None:
         """Close the idle connections to an upstream."""
@@ -416,7 +417,7 @@
             self.observer.sent(action.upstream, self._token(request, number), request.call.class_index)
         attempt.flight = self.upstreams.start(
             action.upstream, address, request.call, timeout_us,
-            lambda result: self._end_attempt(request, number, result))
+            lambda result: self._end_attempt(request, number, result), action.latest_us)
 
     def _timed_out(self, request: Request, number: int) -> None:
         self._give_up(request, number, api.Outcome.TIMEOUT)
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -41,8 +41,9 @@
     """One attempt: it has a connection, or waits until its connection is up."""
 
     def __init__(self, data: bytes, ended: Callable[[Result], None], ident: bytes = b"",
-                 passes_errors: bool = False) -> None:
+                 passes_errors: bool = False, latest_us: int = 0) -> None:
         self.data = data
+        self.latest_us = latest_us  # it must not be written later; 0 = no such time
         self.passes_errors = passes_errors
         self.ident = ident  # of the request, for the log
         self.ended = ended
@@ -92,9 +93,13 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # so that we are told whether all has been written
-        if self.forgotten:  # hazard: what drains gets nothing new, however long ago the attempt began
+        late = self.attempt is not None and 0 < self.attempt.latest_us <= clock_us()
+        if self.forgotten or late:  # hazard: what drains gets nothing new, however long ago the attempt began
             attempt, self.attempt = self.attempt, None
-            self.close()
+            if self.forgotten:
+                self.close()
+            else:
+                self.pool.put_idle(self)
             if attempt is not None:
                 attempt.end(Result(Outcome.CONNECT_FAILED))
         elif self.attempt is not None:
@@ -260,8 +265,9 @@
         self.sweeper = self.loop.call_later(1.0, self.sweep)
 
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
-              ended: Callable[[Result], None]) -> Attempt:
-        attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended, call.ident, call.passes_errors)
+              ended: Callable[[Result], None], latest_us: int = 0) -> Attempt:
+        attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended, call.ident, call.passes_errors,
+                          latest_us)
         now_us = clock_us()
         while idle := self.idle.get(upstream):
             connection = idle[0]
--- a/ryepier/check/model.py
+++ b/ryepier/check/model.py
@@ -218,7 +218,7 @@
     # As the host's upstreams
 
     def start(self, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
-              ended: Callable[[Result], None]) -> Sent:
+              ended: Callable[[Result], None], latest_us: int = 0) -> Sent:
         client = self.clients[int(call.ident)]
         sent = Sent(len(self.flights), int(call.ident), upstream, ended, self.timers.now_us, not self.model.dials)
         self.flights.append(sent)
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -48,14 +48,14 @@
     start, count = Pool.start, 0
 
     def start_twice(self: Pool, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
-                    ended: Callable[[Result], None]) -> Attempt:
+                    ended: Callable[[Result], None], latest_us: int = 0) -> Attempt:
         nonlocal count
         count += 1
         others = [line for line in self.connections if line != upstream]
         if count % EVERY_TWICE == 0 and others:
             peer = next(iter(self.connections[others[0]])).sock.getpeername()
             start(self, others[0], peer, call, timeout_us, lambda result: None)
-        return start(self, upstream, address, call, timeout_us, ended)
+        return start(self, upstream, address, call, timeout_us, ended, latest_us)
 
     Pool.start = start_twice  # type: ignore[method-assign]
 
--- a/tests/net.py
+++ b/tests/net.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from glenkeel.interface import RequestClass, Settings
 from plovertrail.__main__ import serve
 from plovertrail.config import Config
@@ -261,3 +263,23 @@
     async with asyncio.timeout(PATIENCE_S):
         while not condition():
             await asyncio.sleep(0.005)
+
+
+@dataclass
+class HeldDials:
+    """Connections to an upstream that come up once they are let."""
+
+    let: asyncio.Event = field(default_factory=asyncio.Event)
+    begun: int = 0
+
+    def hold(self, upstream: Upstream, patch: pytest.MonkeyPatch) -> None:
+        """From now on, those that are not up yet."""
+        connect = asyncio.SelectorEventLoop.sock_connect
+
+        async def late(loop: asyncio.SelectorEventLoop, sock: socket.socket, address: Any) -> None:
+            if address[1] == upstream.port:
+                self.begun += 1
+                await self.let.wait()
+            await connect(loop, sock, address)
+
+        patch.setattr(asyncio.SelectorEventLoop, "sock_connect", late)
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -14,7 +14,22 @@
 from glenkeel.interface import RequestClass
 from plovertrail import system
 from plovertrail.server import Client, Server
-from tests.net import OK, Upstream, answering, read_message, request, run, sidecar, silent, status, until
+from tests.net import (
+    OK,
+    Discovery,
+    HeldDials,
+    Upstream,
+    answering,
+    entry,
+    listing,
+    read_message,
+    request,
+    run,
+    sidecar,
+    silent,
+    status,
+    until,
+)
 
 SHORT = [RequestClass("pay", aim_us=200_000, deadline_us=400_000, effect="at_most_once")]
 
@@ -165,3 +180,51 @@
             await it.task
 
     run(test)
+
+
+# Connections to upstreams
+
+
+def test_a_keyed_request_is_not_written_once_its_window_is_over_however_late_its_connection(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    kinds = [RequestClass("mark", 2_000_000, 6_000_000, late_worth=0.5, effect="deduplicated", group="cell",
+                          memory_us=600_000)]
+    held = HeldDials()
+
+    async def test() -> None:
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            held.hold(other if upstream is one else one, monkeypatch)
+            writer.transport.abort()  # it may have run, and goes again in its group
+            raise ConnectionResetError
+
+        one, other = Upstream(script), Upstream(script)
+        async with sidecar(one, other, classes=kinds, second_copies=False) as it:
+            answer = asyncio.create_task(it.ask(request("mark", deadline_ms=6_000)))
+            await until(lambda: held.begun == 1)
+            await asyncio.sleep(0.7)
+            held.let.set()
+            assert status(await answer) == 500
+            assert len(one.requests) + len(other.requests) == 1
+
+    run(test)
+
+
+def test_what_was_begun_before_a_drain_was_told_is_not_sent_however_late_its_connection(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    held, discovery = HeldDials(), Discovery()
+
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream, discovery=discovery, list_on_request=False) as it:
+            await discovery.watched()
+            held.hold(upstream, monkeypatch)
+            answer = asyncio.create_task(it.ask(request("pay")))
+            await until(lambda: held.begun == 1)
+            discovery.line(listing(entry("u0", upstream.port, "leaving"), rev=2, full=False))
+            await asyncio.sleep(0.1)
+            held.let.set()
+            assert status(await answer) == 503
+        assert upstream.requests == []
+
+    run(test)
