Send nothing whose dial had not begun when its converter was told to drain

Read in the review, then made to happen by a test: an attempt begins a task that dials; a list read in the same turn of the loop marks the connections to what drains, and this one is none yet. It comes up later, by up to the dial time-out, and is sent: a breach of the drain where that is more than 500 ms after the list.

At fault: Pool.forget, which knew connections only. Changed: it knows the attempts whose dial has yet to begin, too.

tests/test_moments.py: test_what_was_begun_in_the_turn_in_which_a_drain_is_told_is_not_sent failed without the change (the request was served by the converter that drains).

--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -50,6 +50,7 @@
         self.connection: Connection | None = None
         self.written = False
         self.given_up = False
+        self.forgotten = False  # its upstream was, before its dial had begun
 
     def give_up(self) -> None:
         """Nothing more comes of it. A connection that has carried it is closed; one still coming up stays."""
@@ -262,6 +263,7 @@
         self.connections: dict[int, set[Connection]] = {}  # all there are, also those coming up
         self.idle: dict[int, list[Connection]] = {}
         self.dials: set[asyncio.Task[None]] = set()
+        self.to_dial: dict[Attempt, int] = {}  # attempts whose dial has not had its first step, with their upstreams
         self.sweeper = self.loop.call_later(1.0, self.sweep)
 
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
@@ -278,14 +280,19 @@
                 connection.send(attempt)
                 return attempt
             connection.close()
+        self.to_dial[attempt] = upstream
         task = self.loop.create_task(self.dial(upstream, address, attempt))
         self.dials.add(task)
         task.add_done_callback(self.dials.discard)
         return attempt
 
     async def dial(self, upstream: int, address: Address, attempt: Attempt) -> None:
+        del self.to_dial[attempt]
         if attempt.given_up:  # hazard: before this task's first step; it would be sent after the answer
             return
+        if attempt.forgotten:  # hazard: so too what drains; from the next line on its connection is known
+            attempt.end(Result(Outcome.CONNECT_FAILED))
+            return
         connection: Connection | None = None
         try:
             self.make_room()
@@ -361,6 +368,8 @@
         self.close_idle(upstream)
         for connection in self.connections.get(upstream, set()):
             connection.forgotten = True
+        for attempt, at in self.to_dial.items():
+            attempt.forgotten |= at == upstream
 
     def sweep(self) -> None:
         """Close what upstreams are about to close."""
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -11,9 +11,11 @@
 
 import pytest
 
-from glenkeel.interface import RequestClass
+from glenkeel.interface import Outcome, RequestClass
 from plovertrail import system
+from plovertrail.host import Call, Result
 from plovertrail.server import Client, Server
+from plovertrail.upstreams import Pool
 from tests.net import (
     OK,
     Discovery,
@@ -228,3 +230,23 @@
         assert upstream.requests == []
 
     run(test)
+
+
+def test_what_was_begun_in_the_turn_in_which_a_drain_is_told_is_not_sent() -> None:
+    async def test() -> None:
+        upstream, results = Upstream(answering(OK)), list[Result]()
+        await upstream.start()
+        pool = Pool(60_000_000, 10_000_000, most=10)
+        call = Call(b"POST", b"/pay", [], b"", 0, 0, 1)
+        pool.start(1, ("127.0.0.1", upstream.port), call, 0, results.append)
+        pool.forget(1)  # before the dial's own first step
+        assert not results
+        await until(lambda: bool(results))
+        assert results[0].outcome is Outcome.CONNECT_FAILED
+        pool.start(1, ("127.0.0.1", upstream.port), call, 0, results.append)  # it is listed again
+        await until(lambda: len(results) == 2)
+        assert results[1].outcome is Outcome.OK and len(upstream.requests) == 1
+        upstream.stop()
+        pool.sweeper.cancel()
+
+    run(test)
