Use no connection again within 30 ms of its last answer, as a second one may still come

Read in the review, then made to happen by a test: a converter's second answer, 5 ms after the first, came on a connection that carried the next request by then, and was given to its client: "b'late' == b'done'". A request served with something that no converter made for it is lost.

At fault: Pool.start, which went by what had come, not by what may still come.

Two tests that send one request right after another to see connections used again play without the settling.

--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -18,6 +18,7 @@
 LONGEST_BODY = 64 * 1024
 LONGEST_ANSWER = 256 * 1024  # with its head, what comes ahead of it, and its framing
 LONGEST_HEAD = 32 * 1024
+SETTLE_US = 30_000  # a second answer may come some milliseconds late; it would be taken for that of the next request
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
 BREAKS_MEMORY = 16  # uses of connections that were idle for about as long
 MOST_BREAKS = 0.15  # share of them that may break: a request lost costs about ten new connections
@@ -274,6 +275,8 @@
         while idle := self.idle.get(upstream):
             connection = idle[0]
             idle_us = now_us - connection.idle_since_us
+            if idle_us < SETTLE_US:
+                break
             if idle_us < self.keep_us and self.trusted(idle_us) and connection.usable():
                 self.take(connection)
                 connection.idle_us = idle_us
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -250,3 +250,26 @@
         pool.sweeper.cancel()
 
     run(test)
+
+
+def test_a_second_answer_some_milliseconds_late_is_not_taken_for_that_of_the_next_request() -> None:
+    async def test() -> None:
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            writer.write(OK)
+            if number == 0:
+                await asyncio.sleep(0.005)
+                writer.write(OK.replace(b"done", b"late"))
+                await reader.read()
+                raise ConnectionResetError
+
+        upstream = Upstream(script)
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            for _ in range(2):  # the second sets out the moment the first is answered
+                writer.write(request("pay"))
+                assert (await read_message(reader))[1] == b"done"
+            writer.close()
+        assert upstream.connections == 2
+
+    run(test)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -13,6 +13,7 @@
 from glenkeel.balance import MOST_SLOTS, Balancer
 from glenkeel.interface import AttemptEnded, Event, Outcome, RequestClass
 from plovertrail import server, system
+from plovertrail import upstreams as pool_of
 from plovertrail.host import Call, Result
 from plovertrail.upstreams import Attempt, Connection, Pool
 from tests.net import (
@@ -172,7 +173,10 @@
 # Connections to upstreams
 
 
-def test_a_connection_is_used_again_but_not_after_more_than_an_answer_or_its_end() -> None:
+def test_a_connection_is_used_again_but_not_after_more_than_an_answer_or_its_end(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pool_of, "SETTLE_US", 0)  # requests come one right after the other
+
     async def test() -> None:
         more, closing = OK + b"HTTP/1.1 200 OK\r\n", OK.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n")
         upstream = Upstream(answering(OK, more, OK, closing, OK))
@@ -184,7 +188,9 @@
     run(test)
 
 
-def test_a_connection_goes_by_upstream_and_not_by_address() -> None:
+def test_a_connection_goes_by_upstream_and_not_by_address(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pool_of, "SETTLE_US", 0)  # requests come one right after the other
+
     async def test() -> None:
         held, discovery = asyncio.Event(), Discovery()
 
