--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -507,7 +507,8 @@
         server.out.append(attempt)
         silent_us = self.now_us + self.silent_after_us(attempt.class_index)
         self.wake(silent_us, "silence", request.event.request, len(request.attempts) - 1)
-        self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request), latest_us))
+        timeout_us = self.timeout_us(request)
+        self.actions.append(api.Send(request.event.request, server.entry.id, timeout_us, latest_us))
         if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
             index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
             after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
