Read a list over several lines, wherever its bytes are split, and pause longer while none can be read

Read in the review: Watch.on_body took each line for one object, and the users' page says that lists may come indented.

At fault: Watch.on_body, and Discovery.ended, whose pause of 0.1 s was the same after a list that can't be read.

Changed: the stream is cut into its objects by their brackets; one that comes whole in its chunk is read as before. While what comes can't be read the pause doubles, up to 3.2 s; a sound list ends that.

tests/test_moments.py: the indented list and the growing pause failed without the change; cut-off and spoilt lists, an agent that is silent at the start and a move while the old watch dies were found sound and have tests now.

--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -6,7 +6,8 @@
 import ipaddress
 import json
 import logging
-from collections.abc import Callable, Mapping
+import re
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 import httptools
@@ -20,7 +21,8 @@
 
 SILENCE_S = 4.5  # an empty line comes every 2 s
 WATCH_AGAIN_S = 0.1  # its agent is on this machine and answers at no cost; sooner would spin while it is away
-LONGEST_LINE = 1024 * 1024
+MOST_WAITS = 5  # doublings of that pause while what comes can't be read
+LONGEST_LIST = 4 * 1024 * 1024  # 10,000 entries with room to spare
 STATES = {"active": UpstreamState.READY, "leaving": UpstreamState.DRAINING, "left": UpstreamState.GONE}
 Address = tuple[str, int]
 Listener = Callable[[UpstreamsUpdated, dict[int, Address]], None]
@@ -88,6 +90,61 @@
         ), endpoint(line["endpoint"])
 
 
+OUTSIDE = re.compile(rb'["{}\[\]]')
+IN_STRING = re.compile(rb'["\\]')
+
+
+class Objects:
+    """Cuts a stream into its JSON objects: one a line, or each over several lines, wherever its bytes were split."""
+
+    def __init__(self) -> None:
+        self.pending = bytearray()
+        self.at = 0  # how far it has been looked through
+        self.depth = 0
+        self.quoted = False
+
+    def feed(self, data: bytes) -> Iterator[Any]:
+        """The objects that have become whole; raises ValueError on what is none."""
+        if not self.pending and data.rstrip().endswith(b"}"):
+            try:  # nearly always it is one, and whole
+                yield json.loads(data)
+                return
+            except ValueError:
+                pass
+        self.pending += data
+        while end := self.end():
+            whole = json.loads(self.pending[:end])
+            del self.pending[:end]
+            self.at = 0
+            yield whole
+        if self.depth == 0:
+            if self.pending.strip():
+                raise ValueError("what comes is no object")
+            self.pending.clear()
+            self.at = 0
+        if len(self.pending) > LONGEST_LIST:
+            raise ValueError("an object without end")
+
+    def end(self) -> int:
+        """Where the first pending object ends; 0 = it is not whole."""
+        while found := (IN_STRING if self.quoted else OUTSIDE).search(self.pending, self.at):
+            mark, self.at = found.group(), found.end()
+            if mark == b"\\":
+                if self.at == len(self.pending):  # what it escapes has not come
+                    self.at -= 1
+                    return 0
+                self.at += 1
+            elif mark == b'"':
+                self.quoted = not self.quoted
+            else:
+                self.depth += 1 if mark in b"{[" else -1
+                if self.depth <= 0:
+                    self.depth = 0
+                    return self.at
+        self.at = len(self.pending)
+        return 0
+
+
 class Watch(asyncio.Protocol):
     """One call for changes: it lasts until its connection ends, and then has failed."""
 
@@ -95,7 +152,7 @@
         self.discovery = discovery
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
-        self.pending = b""
+        self.objects = Objects()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -113,18 +170,15 @@
             self.parser.feed_data(data)
         except Exception as error:
             log.warning("the watch can't be read: %r", error)
+            self.discovery.unreadable += 1
             self.fail()
 
     def on_body(self, data: bytes) -> None:
         if self.parser.get_status_code() != 200:
             return
         self.discovery.heard()
-        *lines, self.pending = (self.pending + data).split(b"\n")
-        if len(self.pending) > LONGEST_LINE:
-            raise ValueError("a line without end")
-        for line in lines:
-            if line.strip():
-                self.discovery.changed(json.loads(line))
+        for lines in self.objects.feed(data):
+            self.discovery.changed(lines)
 
     def on_message_complete(self) -> None:
         self.fail()
@@ -155,6 +209,7 @@
         self.watch: Watch | None = None
         self.dial: asyncio.Task[None] | None = None
         self.heard_at = 0.0
+        self.unreadable = 0  # watches in a row that brought something else
         self.timer: asyncio.TimerHandle | None = None
 
     def recall(self) -> None:
@@ -230,6 +285,7 @@
     def changed(self, lines: Any) -> None:
         event, addresses = self.directory.read(lines)
         self.version = event.version
+        self.unreadable = 0
         self.listener(event, addresses)
 
     def ended(self, watch: Watch) -> None:
@@ -238,6 +294,8 @@
                 log.info("the watch has ended")
             self.stop()
             if self.pushed:
-                self.timer = self.loop.call_later(WATCH_AGAIN_S, self.subscribe, True)
+                # hazard: a list that stays unreadable would be read over and over
+                pause_s = WATCH_AGAIN_S * 2 ** min(self.unreadable, MOST_WAITS)
+                self.timer = self.loop.call_later(pause_s, self.subscribe, True)
                 return
             self.listener(UpstreamsUpdated(ListKind.FAILED), {})
--- a/tests/net.py
+++ b/tests/net.py
@@ -106,8 +106,9 @@
 
 @dataclass
 class Discovery:
-    """Holds watches open; `lines` puts a list on the newest."""
+    """Holds watches open; `line` puts a list on the newest. Each begins with `first`, if there is one."""
 
+    first: dict[str, Any] | None = None
     calls: list[bytes] = field(default_factory=list)
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     called: asyncio.Event = field(default_factory=asyncio.Event)
@@ -123,6 +124,8 @@
         self.calls.append(head)
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.writers.append(writer)
+        if self.first is not None:
+            self.line(self.first)
         self.called.set()
         await reader.read()
 
@@ -133,7 +136,10 @@
         self.called.clear()
 
     def line(self, lines: object) -> None:
-        data = json.dumps(lines).encode() + b"\n"
+        self.piece(json.dumps(lines).encode() + b"\n")
+
+    def piece(self, data: bytes) -> None:
+        """Bytes as they are, in a chunk of their own."""
         self.writers[-1].write(b"%x\r\n%s\r\n" % (len(data), data))
 
     def stop(self) -> None:
@@ -214,14 +220,16 @@
     """A sidecar whose known list holds these upstreams."""
     for upstream in upstreams:
         await upstream.start()
-    if discovery is not None:
-        await discovery.start()
+    agent = None if discovery is not None else Discovery(first=listing(rev=1, full=False))
+    for each in (discovery, agent):
+        if each is not None:
+            await each.start()
     values: dict[str, Any] = {"classes": classes(), "max_attempts": 4, "connect_timeout_us": 10_000_000,
                               "max_retry_after_us": 1_000_000, "list_on_request": discovery is not None,
                               "ask_within_us": 10_000_000}
     known = known or listing(*(entry(f"u{i}", upstream.port) for i, upstream in enumerate(upstreams)))
     port, stop, reload = free_port(), asyncio.Event(), asyncio.Event()
-    config = Config(listen=("127.0.0.1", port), discovery=("127.0.0.1", discovery.port if discovery else 1),
+    config = Config(listen=("127.0.0.1", port), discovery=("127.0.0.1", (discovery or agent or Discovery()).port),
                     seed=1, sockets=200, settings=Settings(**(values | changes)), zones=["a"], kinds=["m"],
                     idle_us=idle_us, known=known, path=path)
     task = asyncio.create_task(serve(config, stop, reload))
@@ -241,8 +249,9 @@
         await asyncio.gather(task, return_exceptions=True)
         for upstream in upstreams:
             upstream.stop()
-        if discovery is not None:
-            discovery.stop()
+        for each in (discovery, agent):
+            if each is not None:
+                each.stop()
 
 
 def status(answer: tuple[bytes, bytes]) -> int:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
+from pathlib import Path
 
 import pytest
 
@@ -18,10 +20,13 @@
 from plovertrail.upstreams import Pool
 from tests.net import (
     OK,
+    PATIENCE_S,
     Discovery,
     HeldDials,
+    Sidecar,
     Upstream,
     answering,
+    configuration,
     entry,
     listing,
     read_message,
@@ -273,3 +278,100 @@
         assert upstream.connections == 2
 
     run(test)
+
+
+# The list
+
+
+async def moved(it: Sidecar, new: Upstream) -> None:
+    """Until a request has gone to it."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not new.requests:
+            await it.ask(request())
+
+
+@pytest.mark.parametrize("cut", [1, 2, 7, 10_000])
+def test_a_list_over_several_lines_is_read_wherever_its_bytes_are_split(cut: int) -> None:
+    async def test() -> None:
+        old, new, discovery = Upstream(answering(OK)), Upstream(answering(OK)), Discovery()
+        await new.start()
+        async with sidecar(old, discovery=discovery, list_on_request=False) as it:
+            await discovery.watched()
+            first = listing(entry("u0", old.port, "leaving"), rev=2, full=False)
+            second = listing(entry('\u00fc}"\\', new.port), rev=3, full=False)
+            data = "\n".join(json.dumps(each, indent=1, ensure_ascii=False) for each in (first, second)).encode()
+            for i in range(0, len(data), cut):
+                discovery.piece(data[i:i + cut])
+                await discovery.writers[-1].drain()
+                if cut > 2:
+                    await asyncio.sleep(0.01)  # so that each comes by itself
+            await moved(it, new)
+            assert len(discovery.calls) == 1 and not old.requests
+        new.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize("spoilt", [b'{"rev": 2, "all": true, "targets": [', b"no list\n", b"}\n", b'{"rev": "\xff"}\n',
+                                    b'{"rev": 2, "all": true, "targets": [{"uid": ["u"]}]}\n', b"[]\n", b"7\n"])
+def test_a_list_that_is_cut_off_or_none_leaves_the_last_sound_one_and_is_asked_for_anew(spoilt: bytes) -> None:
+    async def test() -> None:
+        upstream, discovery = Upstream(answering(OK)), Discovery()
+        async with sidecar(upstream, discovery=discovery, list_on_request=False) as it:
+            await discovery.watched()
+            discovery.piece(spoilt)
+            await discovery.writers[-1].drain()
+            if not spoilt.endswith(b"\n"):
+                discovery.writers[-1].close()
+            await discovery.watched()
+            assert b"since=1 " in discovery.calls[-1]
+            assert status(await it.ask(request())) == 200
+
+    run(test)
+
+
+def test_a_list_that_stays_unreadable_is_asked_for_with_growing_pauses() -> None:
+    async def test() -> None:
+        discovery = Discovery(first={"rev": 1, "all": True, "targets": [{"uid": "u0"}]})
+        async with sidecar(Upstream(answering(OK)), discovery=discovery, list_on_request=False) as it:
+            await until(lambda: len(discovery.calls) == 3)
+            began = asyncio.get_running_loop().time()
+            await until(lambda: len(discovery.calls) == 4)
+            assert asyncio.get_running_loop().time() - began > 0.5  # 0.2, 0.4, 0.8 s
+            assert status(await it.ask(request())) == 200
+
+    run(test)
+
+
+def test_with_its_agent_silent_a_sidecar_starts_with_the_list_it_knows() -> None:
+    async def test() -> None:
+        discovery = Discovery()  # it takes the call and says nothing
+        async with sidecar(Upstream(answering(OK)), discovery=discovery, list_on_request=False) as it:
+            assert status(await it.ask(request())) == 200
+
+    run(test)
+
+
+def test_a_move_of_discovery_while_the_old_watch_dies_is_followed_from_its_own_first_version(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new, first, second = Upstream(answering(OK)), Upstream(answering(OK)), Discovery(), Discovery()
+        await new.start()
+        await second.start()
+        second.first = listing(entry("u1", new.port), rev=1)
+        path = configuration(tmp_path, discovery=f"127.0.0.1:{second.port}")
+        async with sidecar(old, discovery=first, path=str(path), list_on_request=False) as it:
+            await first.watched()
+            first.line(listing(entry("u0", old.port), rev=900))
+            first.stop()  # both in one turn of the loop
+            it.reload.set()
+            await second.watched()
+            assert b"since=0 " in second.calls[0]
+            await moved(it, new)
+            before = len(old.requests)
+            for _ in range(5):
+                assert status(await it.ask(request())) == 200
+            assert len(old.requests) == before and len(second.calls) == 1
+        new.stop()
+        second.stop()
+
+    run(test)
