Listen only once the agent has told the list, or is silent

Read in the review, then made to happen by a test: a new process listened at once and served by the list that it knew, with its first call to the agent on its way. What the agent has counts as told from the first moment of a process, so a request could go to a converter of which a drain had been told long before. The test holds the agent's answer for 0.1 s: the request went to the one that drains.

At fault: serve(), which listened before the source had spoken. Changed: it waits for the first list, for 0.3 s at most; the agent is on the same machine and answers at once, if at all.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -54,6 +54,7 @@
     following = loop.create_task(follow(settings.path, reload, source))
     for companion in companions:
         companion.start()
+    await source.first_list()
     for front in fronts:
         front.listen()
     await stop.wait()
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ipaddress
 import json
 import logging
@@ -22,6 +23,7 @@
 SILENCE_S = 4.5  # an empty line comes every 2 s
 WATCH_AGAIN_S = 0.1  # its agent is on this machine and answers at no cost; sooner would spin while it is away
 MOST_WAITS = 5  # doublings of that pause while what comes can't be read
+FIRST_LIST_S = 0.3  # its agent answers at once, if it answers at all
 LONGEST_LIST = 4 * 1024 * 1024  # 10,000 entries with room to spare
 STATES = {"active": UpstreamState.READY, "leaving": UpstreamState.DRAINING, "left": UpstreamState.GONE}
 Address = tuple[str, int]
@@ -209,6 +211,7 @@
         self.watch: Watch | None = None
         self.dial: asyncio.Task[None] | None = None
         self.heard_at = 0.0
+        self.told = asyncio.Event()  # a list has come since the start
         self.unreadable = 0  # watches in a row that brought something else
         self.timer: asyncio.TimerHandle | None = None
 
@@ -230,6 +233,14 @@
         if self.pushed:
             self.subscribe(True)
 
+    async def first_list(self) -> None:
+        """Hazard: where changes are pushed, what the agent has counts as told from the first moment, and the known
+        list may be of before a drain. With its agent silent, that one is the best there is."""
+        if self.pushed:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_LIST_S):
+                    await self.told.wait()
+
     def subscribe(self, active: bool) -> None:
         """Ask for changes from now on, in place of an earlier call; or stop."""
         self.stop()
@@ -287,6 +298,7 @@
         self.version = event.version
         self.unreadable = 0
         self.listener(event, addresses)
+        self.told.set()
 
     def ended(self, watch: Watch) -> None:
         if watch is self.watch:
--- a/plovertrail/parts.py
+++ b/plovertrail/parts.py
@@ -24,6 +24,9 @@
     def start(self) -> None:
         """Follow the list from now on."""
 
+    async def first_list(self) -> None:
+        """Until the list is as it was told before this process began, as far as that is worth waiting for."""
+
     def subscribe(self, active: bool) -> None:
         """The module asks for changes, or wants none any more."""
 
--- a/ryepier/slices/source.py
+++ b/ryepier/slices/source.py
@@ -110,6 +110,9 @@
         if self.task is not None:
             self.task.cancel()
 
+    async def first_list(self) -> None:
+        """Nothing is told before this source itself has asked for it."""
+
     def subscribe(self, active: bool) -> None:
         """It follows all the time; one who asks is told what is known, or that nothing is."""
         if active and not self.settings.pushed:
--- a/tests/test_graphql_front.py
+++ b/tests/test_graphql_front.py
@@ -38,6 +38,9 @@
     def start(self) -> None:
         pass
 
+    async def first_list(self) -> None:
+        pass
+
     def subscribe(self, active: bool) -> None:
         self.recall()
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -343,6 +343,38 @@
     run(test)
 
 
+def test_nothing_is_served_by_an_old_list_while_the_agent_has_a_newer_one() -> None:
+    async def test() -> None:
+        old, new = Upstream(answering(OK)), Upstream(answering(OK))
+        await old.start()
+        await new.start()
+        changes = listing(entry("u0", old.port, "leaving"), entry("u1", new.port), rev=2, full=False)
+        discovery, let = Discovery(), asyncio.Event()
+        serve = discovery.serve
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await let.wait()
+            await serve(reader, writer)
+
+        discovery.serve, discovery.first = slow, changes  # type: ignore[method-assign]
+        known = listing(entry("u0", old.port))
+
+        async def early() -> None:
+            """As soon as it listens, while its agent is about to answer."""
+            await asyncio.sleep(0.1)
+            let.set()
+
+        task = asyncio.create_task(early())
+        async with sidecar(discovery=discovery, known=known, list_on_request=False) as it:
+            assert status(await it.ask(request())) == 200
+        await task
+        assert not old.requests and len(new.requests) == 1
+        old.stop()
+        new.stop()
+
+    run(test)
+
+
 def test_with_its_agent_silent_a_sidecar_starts_with_the_list_it_knows() -> None:
     async def test() -> None:
         discovery = Discovery()  # it takes the call and says nothing
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -29,6 +29,9 @@
     def start(self) -> None:
         self.host.list_changed(UpstreamsUpdated(ListKind.FULL, [Upstream(7)]), {7: ("127.0.0.1", self.port)})
 
+    async def first_list(self) -> None:
+        pass
+
     def subscribe(self, active: bool) -> None:
         pass
 
