Name the key of a wrong setting, whatever it is, and never stumble over one

Read in the review, shown by tests: a `listen` that is a number raised AttributeError, an infinite `bounds.conn-idle` OverflowError; neither was among the errors that a start or a SIGHUP expects. At the start the process ended with a trace in place of a line and exit 2; at SIGHUP the task that follows new configurations died, and later ones were not heard.

At fault: config.load, which read each field in its own way. Changed: one reader that names the path of what is missing or wrong. A second SIGTERM, and a SIGHUP while it ends, were found sound and have a test now.

--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from glenkeel import wire
 from glenkeel.interface import Settings
 
+T = TypeVar("T")
+
 
 @dataclass(slots=True)
 class Config:
@@ -52,21 +54,35 @@
     return host, int(port)
 
 
+def read(raw: Any, path: str, make: Callable[[Any], T]) -> T:
+    """The value at a path, as what it should be; raises ValueError that names the path."""
+    value = raw
+    for key in path.split("."):
+        if not isinstance(value, Mapping) or key not in value:
+            raise ValueError(f"{path} is missing")
+        value = value[key]
+    try:
+        return make(value)
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as error:
+        raise ValueError(f"{path}: {error}") from None
+
+
 def load(path: str) -> Config:
-    """Read and check the file; raises ValueError, KeyError or wire.WireError on what is malformed."""
+    """Read and check the file; raises OSError, ValueError or wire.WireError, naming the key, on what is malformed."""
     with open(path, encoding="utf-8") as file:
-        raw = json.load(file)
-    settings = raw["settings"]
-    pairs = flatten(settings)
+        try:
+            raw = json.load(file)
+        except RecursionError:
+            raise ValueError("nested too deeply") from None
     return Config(
-        listen=parse_address(raw["listen"]),
-        discovery=parse_address(raw["discovery"]),
-        seed=int(raw["seed"], 16),
-        sockets=int(raw["limits"]["sockets"]),
-        settings=wire.settings_from_pairs(pairs),
-        zones=list(settings["areas"]),
-        kinds=list(settings["kinds"]),
-        idle_us=int(float(pairs["bounds.conn-idle"])),
+        listen=read(raw, "listen", parse_address),
+        discovery=read(raw, "discovery", parse_address),
+        seed=read(raw, "seed", lambda text: int(text, 16)),
+        sockets=read(raw, "limits.sockets", int),
+        settings=wire.settings_from_pairs(read(raw, "settings", flatten)),
+        zones=read(raw, "settings.areas", list),
+        kinds=read(raw, "settings.kinds", list),
+        idle_us=read(raw, "settings.bounds.conn-idle", lambda value: int(float(value))),
         known=raw.get("known"),
         name=str(raw.get("name", "")),
         path=path,
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,8 +18,9 @@
 
 import pytest
 
+from glenkeel.wire import WireError
 from plovertrail.config import Config, flatten, load
-from tests.net import OK, PATIENCE_S, Upstream, configuration, entry, listing, read_message, request
+from tests.net import OK, PATIENCE_S, SETTINGS, Upstream, configuration, entry, listing, read_message, request
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
@@ -144,3 +145,55 @@
     with program(configuration(tmp_path, **changes)) as process:
         _, errors = process.communicate(timeout=PATIENCE_S)
         assert process.returncode == 2 and len(errors.splitlines()) == 1
+
+
+@pytest.mark.parametrize(("changes", "key"), [
+    ({"listen": 5}, "listen"),
+    ({"discovery": None}, "discovery"),
+    ({"seed": 7}, "seed"),
+    ({"limits": {"sockets": "many"}}, "limits.sockets"),
+    ({"limits": [1]}, "limits.sockets"),
+    ({"settings": SETTINGS | {"areas": 3}}, "settings.areas"),
+    ({"settings": SETTINGS | {"bounds": SETTINGS["bounds"] | {"conn-idle": float("inf")}}}, "bounds.conn-idle"),
+    ({"settings": SETTINGS | {"request-classes": []}}, "request class"),
+    ({"settings": SETTINGS | {"instances": "x"}}, "instances"),
+])
+def test_a_wrong_setting_is_told_by_its_key(tmp_path: Path, changes: dict[str, Any], key: str) -> None:
+    with pytest.raises((ValueError, WireError), match=key):
+        load(str(configuration(tmp_path, **changes)))
+
+
+def test_a_second_sigterm_and_a_sighup_while_it_ends_take_nothing_from_what_is_open(tmp_path: Path) -> None:
+    async def test() -> None:
+        let = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            await let.wait()
+            writer.write(OK)
+
+        upstream = Upstream(script)
+        await upstream.start()
+        path = configuration(tmp_path, known=listing(entry("u", upstream.port)))
+        port = int(json.loads(path.read_text())["listen"].split(":")[1])
+        with program(path) as process:
+            async with asyncio.timeout(PATIENCE_S):
+                while True:
+                    try:
+                        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                        break
+                    except ConnectionRefusedError:
+                        await asyncio.sleep(0.02)
+                writer.write(request("pay", deadline_ms=1_200))
+                while not upstream.requests:
+                    await asyncio.sleep(0.005)
+                for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                    process.send_signal(number)
+                    await asyncio.sleep(0.05)
+                let.set()
+                assert (await reader.read()).endswith(b"done")
+                writer.close()
+                assert await asyncio.to_thread(process.wait, PATIENCE_S) == 0
+        upstream.stop()
+
+    asyncio.run(test())
