Take no 200 for an answer that came before the request was out whole

A converter begins a request when its last byte has arrived; a 200 that is whole before that was made for another request, a second answer come late for one. It was served. Now it is a spoilt answer, which may have run.

At fault: Connection.finish_complete. The test of it demanded that the early answer be served; it now demands SPOILT, which is as strict, and failed without the change.

--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -203,7 +203,8 @@
             self.close()
         if self.status == 200 or (self.attempt is not None and self.attempt.passes_errors
                                   and 400 <= self.status < 500 and self.status not in TRY_LATER):
-            outcome = Outcome.OK
+            # hazard: what comes before the request is out whole was not made for it
+            outcome = Outcome.SPOILT if self.unsent else Outcome.OK
         elif self.status in (503, 504) and self.not_run:
             outcome = Outcome.FULL
         else:
