Know names that are not plain ASCII, and count no unknown tenant against the first one

Searched for what is fitted to one deployment: (1) a header's value had to be plain ASCII, so every request of a tenant or class with another name got 400; (2) a request that names no tenant, or one that the settings lack, was counted against tenant 0 in plovertrail/server.py and ryepier/fronts/graphql.py, and took its share.

Changed: X-Class and X-Tenant may hold what the settings may; an unknown tenant is nobody's, has no share, and gives way in a shortage (Balancer.value).

Tests failed without the change: three spellings in tests/test_moments.py, the unknown tenant in tests/test_slots.py.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -265,6 +265,8 @@
             allowed = s.tenants[request.event.tenant].allowance_per_s / self.allowed_per_s
             seen = self.tenant_seen[request.event.tenant] / sum(self.tenant_seen)
             worth *= s.over_share_worth + (1.0 - s.over_share_worth) * min(1.0, allowed / seen)
+        elif s.tenants:  # a tenant that is not known has no share
+            worth *= s.over_share_worth
         return worth * LATER_WORTH**request.event.tries if self.storm.active else worth
 
     def class_of(self, request: Request) -> api.RequestClass:
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -9,7 +9,9 @@
 import logging
 import re
 import socket
+from collections.abc import Mapping, Sequence
 from typing import Protocol
+from urllib.parse import quote
 
 import httptools
 
@@ -41,6 +43,8 @@
     b"x-retry", b"x-cost-hint", b"x-extras", b"idempotency-key"))
 IDENT = re.compile(rb"[!-~]{1,128}")
 VALUE = re.compile(rb"[\t -~]*")
+NAME = re.compile(rb"[\t -~\x80-\xff]*")
+NAMING_HEADERS = frozenset((b"x-class", b"x-tenant"))  # their values are the settings' names, in any language
 REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 Reply = tuple[int, bytes, bytes]  # status, body, and header lines of its own, each with its end
 
@@ -86,19 +90,41 @@
         name = name.lower()
         if name in found and name in single:
             raise Reject(400, "a header is repeated")
-        if not VALUE.fullmatch(value):
+        if not (NAME if name in NAMING_HEADERS else VALUE).fullmatch(value):
             raise Reject(400, "a header's value is not plain text")
         found[name] = value.strip()
     return found
 
 
+def by_spelling(names: Sequence[str]) -> dict[bytes, int]:
+    """The place of each name, by what may stand for it in a header or a path: UTF-8, Latin-1, percent-encoded."""
+    found = {name.encode(): index for index, name in enumerate(names)}
+    for index, name in enumerate(names):
+        found.setdefault(quote(name, safe="").encode(), index)
+        if all(ord(letter) < 256 for letter in name):
+            found.setdefault(name.encode("latin-1"), index)
+    return found
+
+
+class Tenants:
+    """The tenants that requests name."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.places = by_spelling([tenant.name for tenant in settings.tenants])
+        self.nobody = len(settings.tenants)
+
+    def place(self, found: Mapping[bytes, bytes]) -> int:
+        """Hazard: who names none, or one that is not known, must not be counted against one that is."""
+        return self.places.get(found.get(b"x-tenant", b""), self.nobody)
+
+
 class Catalogue:
     """The classes and tenants that requests name."""
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.classes = {kind.name.encode(): i for i, kind in enumerate(settings.classes)}
-        self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
+        self.classes = by_spelling([kind.name for kind in settings.classes])
+        self.tenants = Tenants(settings)
 
     def call(self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> Call:
         """Check a request and give it its place in the settings. Hazard: what upstreams turn away or close on
@@ -107,7 +133,7 @@
         path, _, query = target.partition(b"?")
         name = path[1:].split(b"/")[0]
         index = self.classes.get(name) if path.startswith(b"/") and b"#" not in target else None
-        if index is None or found.get(b"x-class") != name:
+        if index is None or self.classes.get(found.get(b"x-class", b"")) != index:
             raise Reject(404, "unknown class")
         if not IDENT.fullmatch(found.get(b"x-request-id", b"")):
             raise Reject(400, "no X-Request-Id")
@@ -129,7 +155,7 @@
             deadline_us=min(deadline_us, kind.deadline_us),  # hazard: else a request could stay for years
             class_index=index,
             ident=found[b"x-request-id"],
-            tenant=self.tenants.get(found.get(b"x-tenant", b""), 0),
+            tenant=self.tenants.place(found),
             key=stable_hash(key) if key else 0,
             cost_us=whole_number(cost, "X-Cost-Hint") if cost else 0,
             retried=found.get(b"x-retry") == b"1",
--- a/ryepier/fronts/graphql.py
+++ b/ryepier/fronts/graphql.py
@@ -16,6 +16,7 @@
     Reject,
     Reply,
     Server,
+    Tenants,
     read_headers,
     retry_after,
     stable_hash,
@@ -65,7 +66,7 @@
         self.settings = settings
         self.reader = reader
         self.classes = {kind.name: index for index, kind in enumerate(settings.classes)}
-        self.tenants = {tenant.name.encode(): index for index, tenant in enumerate(settings.tenants)}
+        self.tenants = Tenants(settings)
 
     def call(self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> Call:
         """Raises Reject."""
@@ -110,7 +111,7 @@
         return Call(
             b"POST", target.partition(b"?")[0], onward, asked.body, clock_us(),
             deadline_us=min(asked_us or meant.deadline_us or kind.deadline_us, kind.deadline_us),
-            class_index=index, ident=ident, tenant=self.tenants.get(found.get(b"x-tenant", b""), 0),
+            class_index=index, ident=ident, tenant=self.tenants.place(found),
             key=stable_hash(key) if key else 0,
             cost_us=whole_number(cost, "X-Cost-Hint") if cost else meant.cost_us,
             retried=found.get(b"x-retry") == b"1", passes_errors=True, answer_type=answer_type.encode())
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -9,13 +9,15 @@
 import asyncio
 import json
 import socket
+from collections.abc import Callable
 from pathlib import Path
+from urllib.parse import quote
 
 import pytest
 
-from glenkeel.interface import Outcome, RequestClass
+from glenkeel.interface import Outcome, RequestClass, Tenant
 from plovertrail import system
-from plovertrail.host import Call, Result
+from plovertrail.host import Answer, Call, Host, Result
 from plovertrail.server import Client, Server
 from plovertrail.upstreams import Pool
 from tests.net import (
@@ -407,3 +409,101 @@
         second.stop()
 
     run(test)
+
+
+# Clients that leave
+
+
+@pytest.mark.parametrize("behind", [0])
+def test_a_request_that_waits_is_not_sent_once_its_client_has_left_whatever_it_sent_behind(
+        behind: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    taken: list[bytes] = []
+    arrived = Host.arrived
+
+    def seen(self: Host, call: Call, reply: Callable[[Answer], None]) -> int:
+        taken.append(call.ident)
+        return arrived(self, call, reply)
+
+    monkeypatch.setattr(Host, "arrived", seen)
+
+    async def test() -> None:
+        let = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            await let.wait()
+            writer.write(OK)
+
+        upstream = Upstream(script)  # one slot
+        kinds = [RequestClass("pay", 10_000_000, 20_000_000, late_worth=0.5, effect="at_most_once")]
+        async with sidecar(upstream, classes=kinds) as it:
+            first = asyncio.create_task(it.ask(request("pay", "1")))
+            await until(lambda: len(upstream.requests) == 1)
+            _, writer = await it.connect()
+            writer.write(request("pay", "2"))
+            await until(lambda: b"2" in taken)  # it waits for the slot
+            writer.write(b"x" * behind)
+            writer.write_eof()
+            await asyncio.sleep(0.2)
+            let.set()
+            assert status(await first) == 200
+            assert status(await it.ask(request("pay", "3"))) == 200
+            writer.close()
+        assert [b"X-Request-Id: 2\r\n" in head for head, _ in upstream.requests] == [False, False]
+
+    run(test)
+
+
+def test_a_request_whose_client_left_while_its_connection_came_up_is_not_sent(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    held = HeldDials()
+
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream) as it:
+            held.hold(upstream, monkeypatch)
+            _, writer = await it.connect()
+            writer.write(request("pay", "1"))
+            await until(lambda: held.begun == 1)
+            writer.close()
+            await writer.wait_closed()
+            await asyncio.sleep(0.1)
+            held.let.set()
+            assert status(await it.ask(request("pay", "2"))) == 200
+        assert [b"X-Request-Id: 2\r\n" in head for head, _ in upstream.requests] == [True]
+
+    run(test)
+
+
+# Another customer's settings
+
+
+@pytest.mark.parametrize("spelt", ["utf-8", "latin-1", "percent"])
+def test_names_that_are_not_plain_ascii_are_known_however_they_are_spelt(
+        spelt: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    calls: list[Call] = []
+    arrived = Host.arrived
+
+    def seen(self: Host, call: Call, reply: Callable[[Answer], None]) -> int:
+        calls.append(call)
+        return arrived(self, call, reply)
+
+    monkeypatch.setattr(Host, "arrived", seen)
+
+    def spell(name: str) -> bytes:
+        return quote(name).encode() if spelt == "percent" else name.encode(spelt)
+
+    async def test() -> None:
+        kinds = [RequestClass("r\u00e9servation", 1_000_000, 5_000_000), RequestClass("plain", 1_000_000, 5_000_000)]
+        tenants = [Tenant("other", 1.0, 0.5), Tenant("caf\u00e9", 1.0, 0.5)]
+        path = quote("r\u00e9servation").encode()  # a path has no other spelling
+        async with sidecar(Upstream(answering(OK)), classes=kinds, tenants=tenants) as it:
+            for number, tenant in enumerate((b"X-Tenant: " + spell("caf\u00e9") + b"\r\n", b"X-Tenant: who\r\n", b"")):
+                answer = await it.ask(b"GET /" + path + b"/it HTTP/1.1\r\nHost: x\r\nX-Request-Id: %d\r\n" % number
+                                      + b"X-Class: " + spell("r\u00e9servation") + b"\r\nX-Deadline-Ms: 5000\r\n"
+                                      + tenant + b"\r\n")
+                assert status(answer) == 200
+        assert [call.class_index for call in calls] == [0, 0, 0]
+        assert [call.tenant for call in calls] == [1, 2, 2]  # one that is not known, or not named, is nobody's
+
+    run(test)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -255,6 +255,16 @@
     assert world.answer(modest) is None and world.answer(holder.event.request) is not None
 
 
+def test_a_tenant_that_is_not_known_has_no_share_and_yields_the_buffer() -> None:
+    world = ready_world(tenants=[Tenant("big", 100.0), Tenant("small", 100.0)], over_share_worth=0.1)
+    for _ in range(50):
+        world.arrive(READ, tenant=2)
+    holder = world.balancer.buffer
+    assert holder is not None and holder.event.tenant == 2
+    known = world.arrive(READ, tenant=0)
+    assert world.answer(known) is None and world.answer(holder.event.request) is not None
+
+
 def test_a_late_answer_gets_a_copy_elsewhere_and_the_first_may_still_answer() -> None:
     world = ready_world()
     request = world.arrive(READ)
