Give up the request of a client that sends on and on behind it, as it can't be seen to leave

Read in the review, then made to happen by a test: a client whose request waits for a slot sends 200 kB more and leaves.

At fault: Client.data_received, which paused reading with a request open. Changed: such a client, whom the protocol knows not, gets 400, and its request is given up. Clients that leave while waiting for a slot or a connection were found sound.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -296,6 +296,10 @@
             self.extra = True  # pipelined: the open request is answered, then the connection ends
             self.discarded += len(data)
             if self.discarded > MOST_DISCARDED and self.transport is not None:
+                if self.state is State.OPEN:
+                    # hazard: what is not read on can't be seen to leave, and its request would be sent on
+                    self.server.host.gone(self.ident)
+                    self.write(400, b"", last=True)
                 self.transport.pause_reading()  # hazard: to read it all, only to drop it, takes the CPU
             return
         if self.state is State.IDLE:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -414,7 +414,7 @@
 # Clients that leave
 
 
-@pytest.mark.parametrize("behind", [0])
+@pytest.mark.parametrize("behind", [0, 200_000])
 def test_a_request_that_waits_is_not_sent_once_its_client_has_left_whatever_it_sent_behind(
         behind: int, monkeypatch: pytest.MonkeyPatch) -> None:
     taken: list[bytes] = []
