End a peer whose first request drips within the three seconds that it is owed

Read in the review, then shown by a test: a peer that sends a byte each 0.1 s got its 408 after 6 s. The users' terms owe it an error or a close within 3 s of connecting, 6 s only where 60 MB are to be sent; those get 413 at their head.

At fault: Client.overdue, whose 6 s held for the first request too. Changed: they hold for later requests of a connection.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -24,7 +24,7 @@
 LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
 LONGEST_READ_S = 2.4  # to connect and send a whole request, and to send each later one;
-LONGEST_SLOW_S = 6.0  # or so long, as long as its bytes keep coming
+LONGEST_SLOW_S = 6.0  # or so long, the later ones, as long as their bytes keep coming
 LONGEST_PAUSE_S = 0.8
 LONGEST_IDLE_S = 60.0
 LONGEST_UNREAD_S = 5.0  # and so long more while part of an answer waits for its client to read on
@@ -404,7 +404,9 @@
         """Its state has lasted too long."""
         if self.state in (State.FRESH, State.READING) and self.size:
             now = system.monotonic()
-            if now > min(self.heard + LONGEST_PAUSE_S, self.since + LONGEST_SLOW_S):
+            # hazard: one that has never sent a whole request is owed an end within 3 s, however its bytes drip
+            longest_s = LONGEST_READ_S if self.state is State.FRESH else LONGEST_SLOW_S
+            if now > min(self.heard + LONGEST_PAUSE_S, self.since + longest_s):
                 self.write(408, b"", last=True)
             return
         patient = system.monotonic() < self.since + LONGEST_S[self.state] + LONGEST_UNREAD_S
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -491,6 +491,24 @@
     run(test)
 
 
+def test_a_peer_whose_first_request_drips_is_ended_within_three_seconds() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            reader, writer = await it.connect()
+            began = asyncio.get_running_loop().time()
+            answer = asyncio.create_task(reader.read())
+            for byte in request("pay", body=b"x" * 1_000):
+                writer.write(bytes([byte]))
+                await asyncio.wait([answer], timeout=0.1)
+                if answer.done():
+                    break
+            assert (await answer).startswith(b"HTTP/1.1 408 ")
+            assert asyncio.get_running_loop().time() - began < 3.0
+            writer.close()
+
+    run(test)
+
+
 def test_a_long_time_is_cut_to_that_of_the_class() -> None:
     async def test() -> None:
         upstream = Upstream(answering(OK))
