--- a/tests/net.py
+++ b/tests/net.py
@@ -95,6 +95,16 @@
     raise ConnectionResetError
 
 
+def holding(let: asyncio.Event) -> Script:
+    """Answers once it is let."""
+    async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                     writer: asyncio.StreamWriter) -> None:
+        await let.wait()
+        writer.write(OK)
+
+    return script
+
+
 def entry(uid: str, port: int, state: str = "active", boot_ms: int = 0) -> dict[str, Any]:
     return {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "a", "model": "m", "pod_group": 1,
             "state": state, "capacity_hint": 1.0, "boot_ms": boot_ms}
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -30,6 +30,7 @@
     answering,
     configuration,
     entry,
+    holding,
     listing,
     read_message,
     request,
@@ -43,6 +44,19 @@
 SHORT = [RequestClass("pay", aim_us=200_000, deadline_us=400_000, effect="at_most_once")]
 
 
+def taken(monkeypatch: pytest.MonkeyPatch) -> list[Call]:
+    """The requests that sidecars take from now on."""
+    calls: list[Call] = []
+    arrived = Host.arrived
+
+    def seen(self: Host, call: Call, reply: Callable[[Answer], None]) -> int:
+        calls.append(call)
+        return arrived(self, call, reply)
+
+    monkeypatch.setattr(Host, "arrived", seen)
+    return calls
+
+
 # The stop
 
 
@@ -362,7 +376,7 @@
         known = listing(entry("u0", old.port))
 
         async def early() -> None:
-            """As soon as it listens, while its agent is about to answer."""
+            """Its agent answers only then."""
             await asyncio.sleep(0.1)
             let.set()
 
@@ -417,31 +431,19 @@
 @pytest.mark.parametrize("behind", [0, 200_000])
 def test_a_request_that_waits_is_not_sent_once_its_client_has_left_whatever_it_sent_behind(
         behind: int, monkeypatch: pytest.MonkeyPatch) -> None:
-    taken: list[bytes] = []
-    arrived = Host.arrived
-
-    def seen(self: Host, call: Call, reply: Callable[[Answer], None]) -> int:
-        taken.append(call.ident)
-        return arrived(self, call, reply)
-
-    monkeypatch.setattr(Host, "arrived", seen)
+    calls = taken(monkeypatch)
 
     async def test() -> None:
         let = asyncio.Event()
 
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
-            await let.wait()
-            writer.write(OK)
-
-        upstream = Upstream(script)  # one slot
+        upstream = Upstream(holding(let))  # one slot
         kinds = [RequestClass("pay", 10_000_000, 20_000_000, late_worth=0.5, effect="at_most_once")]
         async with sidecar(upstream, classes=kinds) as it:
             first = asyncio.create_task(it.ask(request("pay", "1")))
             await until(lambda: len(upstream.requests) == 1)
             _, writer = await it.connect()
             writer.write(request("pay", "2"))
-            await until(lambda: b"2" in taken)  # it waits for the slot
+            await until(lambda: b"2" in [call.ident for call in calls])  # it waits for the slot
             writer.write(b"x" * behind)
             writer.write_eof()
             await asyncio.sleep(0.2)
@@ -481,14 +483,7 @@
 @pytest.mark.parametrize("spelt", ["utf-8", "latin-1", "percent"])
 def test_names_that_are_not_plain_ascii_are_known_however_they_are_spelt(
         spelt: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    calls: list[Call] = []
-    arrived = Host.arrived
-
-    def seen(self: Host, call: Call, reply: Callable[[Answer], None]) -> int:
-        calls.append(call)
-        return arrived(self, call, reply)
-
-    monkeypatch.setattr(Host, "arrived", seen)
+    calls = taken(monkeypatch)
 
     def spell(name: str) -> bytes:
         return quote(name).encode() if spelt == "percent" else name.encode(spelt)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -20,7 +20,7 @@
 
 from glenkeel.wire import WireError
 from plovertrail.config import Config, flatten, load
-from tests.net import OK, PATIENCE_S, SETTINGS, Upstream, configuration, entry, listing, read_message, request
+from tests.net import OK, PATIENCE_S, SETTINGS, Upstream, configuration, entry, holding, listing, read_message, request
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
@@ -166,13 +166,7 @@
 def test_a_second_sigterm_and_a_sighup_while_it_ends_take_nothing_from_what_is_open(tmp_path: Path) -> None:
     async def test() -> None:
         let = asyncio.Event()
-
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
-            await let.wait()
-            writer.write(OK)
-
-        upstream = Upstream(script)
+        upstream = Upstream(holding(let))
         await upstream.start()
         path = configuration(tmp_path, known=listing(entry("u", upstream.port)))
         port = int(json.loads(path.read_text())["listen"].split(":")[1])
