Test two events in one turn: an answer at its time-out, a request at its connection's close

Need: the review of rare moments had left two orders without a test. Both hold on the program as it is, so each was proven by a planted mistake: the answer read one turn late (its attempt timed out and was sent again), room made without a look for bytes that have come, and a close by shutdown alone, behind which the request was read and sent on. Each test failed with its plant.

--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import socket
+import time
 from collections.abc import Callable
 from pathlib import Path
 from urllib.parse import quote
@@ -18,7 +19,7 @@
 from glenkeel.interface import Outcome, RequestClass, Tenant
 from plovertrail import system
 from plovertrail.host import Answer, Call, Host, Result
-from plovertrail.server import Client, Server
+from plovertrail.server import Client, Server, State
 from plovertrail.upstreams import Pool
 from tests.net import (
     OK,
@@ -477,6 +478,88 @@
     run(test)
 
 
+# Two events in one turn of the loop
+
+
+def test_an_answer_that_comes_in_the_turn_of_its_attempts_time_out_is_the_answer() -> None:
+    async def test() -> None:
+        kinds = [RequestClass("read", aim_us=400_000, deadline_us=20_000_000, late_worth=0.5)]  # times out after 0.4 s
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.2)
+            time.sleep(0.4)  # the loop hangs over the time-out: answer and timer are both due in its next turn
+            writer.write(OK)
+
+        upstream = Upstream(script)
+        async with sidecar(upstream, classes=kinds, second_copies=False) as it:
+            assert status(await it.ask(request())) == 200
+        assert len(upstream.requests) == 1  # the attempt was not given up, and nothing was sent again
+
+    run(test)
+
+
+def servers(monkeypatch: pytest.MonkeyPatch) -> list[Server]:
+    """Those that listen from now on."""
+    found: list[Server] = []
+    listen = Server.listen
+
+    def seen(self: Server) -> None:
+        found.append(self)
+        listen(self)
+
+    monkeypatch.setattr(Server, "listen", seen)
+    return found
+
+
+async def kept(it: Sidecar, made: list[Server]) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, Client]:
+    """A connection on which a request was answered, at both ends."""
+    reader, writer = await it.connect()
+    writer.write(request("pay", "1"))
+    assert status(await read_message(reader)) == 200
+    await until(lambda: len(made[0].clients[State.IDLE]) == 1)
+    return reader, writer, next(iter(made[0].clients[State.IDLE]))
+
+
+def test_room_is_made_of_no_connection_on_which_a_request_has_come(monkeypatch: pytest.MonkeyPatch) -> None:
+    made = servers(monkeypatch)
+
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream) as it:
+            reader, writer, _ = await kept(it, made)
+            writer.write(request("pay", "2"))
+            made[0].make_room()  # in the same turn: its bytes are there and were not read
+            assert status(await read_message(reader)) == 200
+            writer.close()
+        assert len(upstream.requests) == 2
+
+    run(test)
+
+
+def test_a_request_that_crosses_the_close_of_its_connection_is_sent_nowhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    made = servers(monkeypatch)
+
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream) as it:
+            reader, writer, client = await kept(it, made)
+            close = client.close
+
+            def crossed() -> None:
+                writer.write(request("pay", "2"))
+                close()
+
+            client.close = crossed  # type: ignore[method-assign]
+            assert made[0].make_room()
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            assert status(await it.ask(request("pay", "2"))) == 200  # as the page has clients send it once more
+        assert len(upstream.requests) == 2
+
+    run(test)
+
+
 # Another customer's settings
 
 
