Begin the next call for the list within 4 s of the last sound word

Need: a change counts as told 6 s after discovery had it and could be reached, whatever call failed before. Measured on the landed code: a call that is given up after 4.5 s and then repeated over up to 5 s takes 9.5 s; one list that trickles in is waited for without end; pushed, six unreadable lists and a silent call take 7.7 s by their sum.

Change: one bound in both places. A call begins at most 4 s (6 s of the protocol, less 2 s for its turn) after the last call began or after a watch last brought something sound. So the module counts a repeat from the begin of the failed call (`silent_us` tells it for a watch that broke), and the pause while lists are unreadable ends there too. A call or watch that says nothing is left after 2.5 s (an empty line comes every 2 s), an object has 4 s to be whole, another status than 200 is a failure at once, and an empty line in place of the first object is an answer: a module that waits for one would ask again and cut a sound watch. Calls that are spread over the fleet keep their turns: drawn anew each time they came in the mean after half of the longest gap.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -54,6 +54,8 @@
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
 CALL_GAP_US = 50_000  # between the fleet's calls at first: twenty a second
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
+TOLD_US = 6_000_000  # a change counts as told so long after discovery had it and could be reached (protocol)
+TURN_US = 2_000_000  # of these, left to a call to wait for its turn at discovery and to be answered
 
 
 class Pool:
@@ -152,6 +154,8 @@
         self.tenant_worth: list[float] = []  # as planned; empty = judged by what is seen here
         self.armed_us = self.list_failures = 0  # armed: the next timer already asked for; 0 = none
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
+        self.unheard_us: int | None = None  # since when a call, or a watch that broke, has brought nothing
+        self.call_spread_us = 0  # over how long the repeat was last drawn; 0 = there was none since the last list
         self.ask_list_at(now_us)
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
@@ -637,16 +641,13 @@
     def on_list(self, event: api.UpstreamsUpdated) -> None:
         if event.kind is api.ListKind.FAILED:
             self.list_failures += 1
-            # hazard: all sidecars fail together, and discovery serves few calls at once; what comes again
-            # soon waits behind the others and fails again: so full jitter, over a span that grows with the
-            # fleet and doubles with each failure, inside ask-within (rule 3)
-            longest_us = max(1, self.settings.ask_within_us // 2)
-            first_us = max(FIRST_RETRY_US, CALL_GAP_US * self.settings.instances)
-            span_us = min(first_us * 2 ** min(self.list_failures - 1, 20), longest_us)
-            self.ask_list_at(self.now_us + int(span_us * self.random.random()))
+            if self.unheard_us is None:
+                self.unheard_us = self.now_us - event.silent_us
+            self.ask_list_at(self.next_call_us())
             return
         if event.kind is not api.ListKind.CACHED:
-            self.list_failures = self.ask_list_us = 0
+            self.list_failures = self.ask_list_us = self.call_spread_us = 0
+            self.unheard_us = None
         if event.kind is not api.ListKind.DELTA:
             self.servers = {e.id: self.servers[e.id] for e in event.upstreams if e.id in self.servers}
         restarted = []
@@ -684,6 +685,26 @@
         resting = sum(1 for server in self.servers.values() if server.advice.rests)
         self.planned_rests = resting <= MOST_PLANNED * len(self.servers)
 
+    def longest_call_gap_us(self) -> int:
+        """The longest time (us) from one call for the list, or from the last word of a watch, to the next call."""
+        settings_us = self.settings.ask_within_us // 2 or TOLD_US
+        return min(TOLD_US - TURN_US, settings_us)
+
+    def next_call_us(self) -> int:
+        """When to call again after a failure (us, on the module's clock). Hazard: all sidecars fail together, and
+        discovery serves few calls at once; what comes again soon waits behind the others and fails again. So full
+        jitter, over a span that grows with the fleet and doubles with each failure. It counts from when the failed
+        call began, not from its failure: a call that is given up late would else put off the next one past the
+        time at which a change counts as told (rule 3). Once spread, the calls keep their turns: drawn anew each
+        time, they would come twice as often in the mean, and most of them soon after discovery is back."""
+        assert self.unheard_us is not None
+        latest_us = max(self.now_us, self.unheard_us + self.longest_call_gap_us())
+        if self.call_spread_us >= self.longest_call_gap_us() // 2:
+            return latest_us
+        first_us = max(FIRST_RETRY_US, CALL_GAP_US * self.settings.instances)
+        self.call_spread_us = min(first_us * 2 ** min(self.list_failures - 1, 20), latest_us - self.now_us)
+        return self.now_us + int(self.call_spread_us * self.random.random())
+
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
             self.ask_list_us = at_us
@@ -693,7 +714,8 @@
         """Asks again if no answer comes: a call that is lost must not leave us without a list (rule 3)."""
         if self.ask_list_us != 0 and self.now_us >= self.ask_list_us:
             self.actions.append(api.Subscribe(True))
-            self.ask_list_at(self.now_us + max(FIRST_RETRY_US, self.settings.ask_within_us // 2))
+            self.unheard_us = self.now_us
+            self.ask_list_at(self.now_us + self.longest_call_gap_us())
 
     def wake(self, at_us: int, what: str, ident: int, attempt: int = 0) -> None:
         heapq.heappush(self.wakeups, (max(at_us, self.now_us + 1), what, ident, attempt))
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -153,6 +153,7 @@
     kind: ListKind
     upstreams: list[Upstream] = field(default_factory=list)
     version: int = 0
+    silent_us: int = 0  # FAILED: for how long nothing sound had come, where that is known
 
 
 @dataclass(slots=True)
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -20,7 +20,12 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 4.5  # an empty line comes every 2 s
+# The times of a call are such that the next one begins within AGAIN_WITHIN_S of the last sound word, or of the call's
+# begin where none came, whatever went wrong and in whatever order: 6 s after discovery has a change and can be reached
+# that change counts as told, and 2 s of these are left to the next call (docs/design.md).
+SILENCE_S = 2.5  # an empty line comes every 2 s, also on a call that has nothing to tell; a call's turn takes no longer
+WHOLE_S = 4.0  # for an object, from the last sound word to its last byte: as long as a call may take
+AGAIN_WITHIN_S = 4.0
 WATCH_AGAIN_S = 0.1  # its agent is on this machine and answers at no cost; sooner would spin while it is away
 MOST_WAITS = 5  # doublings of that pause while what comes can't be read
 FIRST_LIST_S = 0.3  # its agent answers at once, if it answers at all
@@ -155,6 +160,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.objects = Objects()
+        self.answered = False  # an object has come, or an empty line in place of the first
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -168,6 +174,7 @@
                         % (self.discovery.version, host.encode(), port))
 
     def data_received(self, data: bytes) -> None:
+        self.discovery.heard()
         try:
             self.parser.feed_data(data)
         except Exception as error:
@@ -175,12 +182,24 @@
             self.discovery.unreadable += 1
             self.fail()
 
+    def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if status != 200:  # its body says nothing, and may not end
+            log.info("the watch is answered with %d", status)
+            self.fail()
+
     def on_body(self, data: bytes) -> None:
         if self.parser.get_status_code() != 200:
             return
-        self.discovery.heard()
         for lines in self.objects.feed(data):
+            self.answered = True
             self.discovery.changed(lines)
+        if not self.objects.pending:
+            self.discovery.heard_whole()
+            if not self.answered:
+                # hazard: asked for once more by a module that waits for its answer, a sound watch would be cut
+                self.answered = True
+                self.discovery.unchanged()
 
     def on_message_complete(self) -> None:
         self.fail()
@@ -211,6 +230,7 @@
         self.watch: Watch | None = None
         self.dial: asyncio.Task[None] | None = None
         self.heard_at = 0.0
+        self.whole_at = 0.0  # when the call began, or brought its last whole object or empty line
         self.told = asyncio.Event()  # a list has come since the start
         self.unreadable = 0  # watches in a row that brought something else
         self.timer: asyncio.TimerHandle | None = None
@@ -247,7 +267,7 @@
         self.active = active
         if active:
             self.watch = Watch(self)
-            self.heard()
+            self.heard_whole()
             self.timer = self.loop.call_later(SILENCE_S, self.check)
             self.dial = self.loop.create_task(self.connect(self.watch))
 
@@ -284,15 +304,24 @@
     def heard(self) -> None:
         self.heard_at = system.monotonic()
 
+    def heard_whole(self) -> None:
+        self.heard_at = self.whole_at = system.monotonic()
+
     def check(self) -> None:
-        """Hazard: a machine that is cut off says nothing, and its watch would stay open for ever."""
-        left = self.heard_at + SILENCE_S - system.monotonic()
+        """Hazards: a machine that is cut off says nothing, and its watch would stay open for ever, as would one
+        whose list never becomes whole; a connection to it may not come up for minutes."""
+        left = min(self.heard_at + SILENCE_S, self.whole_at + WHOLE_S) - system.monotonic()
         if left > 0:
             self.timer = self.loop.call_later(left, self.check)
         elif self.watch is not None:
             log.warning("the watch is silent")
             self.watch.fail()
 
+    def unchanged(self) -> None:
+        """The call is answered: there is nothing new since the version that is held, if there is one."""
+        if self.version:
+            self.listener(UpstreamsUpdated(ListKind.DELTA, [], self.version), {})
+
     def changed(self, lines: Any) -> None:
         event, addresses = self.directory.read(lines)
         self.version = event.version
@@ -305,9 +334,11 @@
             if watch.transport is not None:
                 log.info("the watch has ended")
             self.stop()
+            silent_s = system.monotonic() - self.whole_at
             if self.pushed:
                 # hazard: a list that stays unreadable would be read over and over
                 pause_s = WATCH_AGAIN_S * 2 ** min(self.unreadable, MOST_WAITS)
+                pause_s = min(pause_s, max(WATCH_AGAIN_S, AGAIN_WITHIN_S - silent_s))
                 self.timer = self.loop.call_later(pause_s, self.subscribe, True)
                 return
-            self.listener(UpstreamsUpdated(ListKind.FAILED), {})
+            self.listener(UpstreamsUpdated(ListKind.FAILED, silent_us=int(1e6 * silent_s)), {})
