--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -359,6 +359,18 @@
     report(order, fleet, reachable_s)
 
 
+@pytest.mark.parametrize("sidecars", [200, 1_600])
+def test_a_fleet_whose_calls_are_refused_calls_evenly_and_each_sidecar_once_in_4_s(sidecars: int) -> None:
+    """Drawn anew after each failure, the calls would come twice as often, and most of them right at the return."""
+    fleet = Fleet(sidecars, sidecars / 3, [(0.0, "refused")])
+    for who in range(sidecars):
+        fleet.tell(who, TimerFired(0))
+    fleet.play(30.0)
+    settled = [fleet.calls[second] for second in range(10, 30)]
+    print(f"{sidecars} sidecars, refused for good: {settled} calls a second")
+    assert max(settled) <= 0.3 * sidecars and sum(settled) <= 0.26 * sidecars * len(settled)
+
+
 def report(order: str, fleet: Fleet, reachable_s: float) -> None:
     """The calls a second that discovery gets, and that all have heard in time."""
     after = [sidecar.told_s - reachable_s for sidecar in fleet.sidecars]
