Look at the client's socket right before an attempt is written

An attempt may begin no later than 0.1 s after its client has gone. The loop learned of that only when it came to read the end: too late where the turn that brings the end brings the free slot, the failed attempt or the dial as well, where bytes sent behind the request are read a turn ahead of the end, and where a client has come and gone before it is read. With a loop held for 0.3 s each of them was sent on, 0.3 s after the client's close, reset or end of sending.

Before each attempt the host, and the connection that has just come up, now look at the client's socket. Up to the discard limit they drop what lies ahead of its end; past the limit the request is given up, as it is when that is read.

tests/test_gone.py counts attempts at the converter, by first bytes, over real connections. All its tests of a late loop fail without this (test_..._in_the_turn_that_brings_..., test_..._before_it_is_read), but for four, where over 64 KiB lie ahead of the end and are read in time. Sound before: what is seen to go in the buffer place, in a dial, before a reissue, and with the reading paused. Planted mistakes that those tests find on the tree before: connection_lost that does not tell the host; data over the limit that does not give the request up; a dial that is not given up.

A half-closed connection can't be told from a closed one before something is written; it counts as gone (docs/design.md), and its request ends with a close.

--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -29,6 +29,11 @@
     return system.monotonic_ns() // 1000
 
 
+def stays() -> bool:
+    """A client that can't leave."""
+    return False
+
+
 @dataclass(slots=True)
 class Call:
     """A request of the application, as it was read."""
@@ -47,6 +52,7 @@
     retried: bool = False
     passes_errors: bool = False  # an upstream's 4xx is its final answer, and passed on
     answer_type: bytes = b""  # the media type that the client takes, where its front asked
+    left: Callable[[], bool] = stays  # looks whether its client has gone, also where the loop has not come to see it
 
 
 class Verdict(enum.Enum):
@@ -94,8 +100,9 @@
 
     def start(self, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
               ended: Callable[[Result], None], latest_us: int = 0) -> Flight:
-        """Begin an attempt; nothing of it is written after `latest_us`, unless that is 0. `ended` is called once,
-        later, unless the attempt is given up first."""
+        """Begin an attempt; nothing of it is written after `latest_us`, unless that is 0, nor, where its connection
+        has to come up first, once the client has left: it ends as not sent. `ended` is called once, later, unless the
+        attempt is given up first."""
 
     def close_idle(self, upstream: int) -> None:
         """Close the idle connections to an upstream."""
@@ -256,6 +263,12 @@
             self._finish(request)
             self._tell(api.RequestGone(ident))
 
+    def _look(self, request: Request) -> None:
+        """Hazard: a late loop has not read yet that the client has gone, nor has one in whose turn a slot frees as
+        well; its request would be sent on."""
+        if not request.over and request.call.left():
+            self.gone(request.ident)
+
     def list_changed(self, event: api.UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
         """Discovery has spoken; `addresses` has those of the entries of the event."""
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
@@ -401,6 +414,7 @@
         request = self.requests.get(action.request)
         if request is None:
             return  # over, and the module has been told
+        self._look(request)
         now_us = clock_us()
         number = len(request.attempts)
         attempt = Attempt(action.upstream, now_us)
@@ -449,6 +463,8 @@
         if result.outcome is api.Outcome.OK:
             self._answer(request.ident, Answer(
                 Verdict.SERVED, result.body, result.content_type, status=result.status))
+        elif result.outcome is api.Outcome.NOT_SENT:
+            self._look(request)
         elapsed_us = clock_us() - attempt.sent_us
         if self.observer is not None:
             self.observer.ended(attempt.upstream, self._token(request, number), result.outcome, elapsed_us)
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -256,7 +256,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.remove(self)
-        self.parser = None  # hazard: they hold each other, and would wait for a rare full collection
+        self.parser = self.call = None  # hazard: they hold each other, and would wait for a rare full collection
         if self.state is State.OPEN:
             self.server.host.gone(self.ident)
 
@@ -349,8 +349,26 @@
         if self.transport.get_write_buffer_size() > 0:
             raise Reject(400, "the last answer was not read")  # hazard: unread answers would fill the memory
         self.server.move(self, State.OPEN)
+        call.left = self.left
         self.ident = self.server.host.arrived(call, self.answer)
 
+    def left(self) -> bool:
+        """Whether the client of the open request has gone; what has come ahead of its end is dropped, as it would
+        be when read. An end of its sending alone can't be told from a close, and counts as one."""
+        assert self.transport is not None
+        while not self.transport.is_closing():
+            room = MOST_DISCARDED - self.discarded
+            try:
+                if not self.sock.recv(1, socket.MSG_PEEK) or not room:
+                    return True  # its end, or too much: its request would be given up when that is read
+                self.discarded += len(self.sock.recv(room))
+            except BlockingIOError:
+                return False
+            except OSError:  # it was reset
+                return True
+            self.extra = True
+        return True
+
     def answer(self, answer: Answer) -> None:
         if self.state is State.OPEN and self.call is not None:
             self.write(*self.server.dialect.answer(self.call, answer))
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -11,7 +11,7 @@
 
 from glenkeel.interface import Outcome
 from plovertrail import system
-from plovertrail.host import Call, Result, clock_us
+from plovertrail.host import Call, Result, clock_us, stays
 
 log = logging.getLogger(__name__)
 
@@ -42,10 +42,11 @@
     """One attempt: it has a connection, or waits until its connection is up."""
 
     def __init__(self, data: bytes, ended: Callable[[Result], None], ident: bytes = b"",
-                 passes_errors: bool = False, latest_us: int = 0) -> None:
+                 passes_errors: bool = False, latest_us: int = 0, left: Callable[[], bool] = stays) -> None:
         self.data = data
         self.latest_us = latest_us  # it must not be written later; 0 = no such time
         self.passes_errors = passes_errors
+        self.left = left  # whether its client has
         self.ident = ident  # of the request, for the log
         self.ended = ended
         self.connection: Connection | None = None
@@ -104,6 +105,10 @@
                 self.pool.put_idle(self)
             if attempt is not None:
                 attempt.end(Result(Outcome.CONNECT_FAILED))
+        elif self.attempt is not None and self.attempt.left():
+            attempt, self.attempt = self.attempt, None
+            self.pool.put_idle(self)
+            attempt.end(Result(Outcome.NOT_SENT))
         elif self.attempt is not None:
             self.send(self.attempt)
         else:
@@ -271,7 +276,7 @@
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
               ended: Callable[[Result], None], latest_us: int = 0) -> Attempt:
         attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended, call.ident, call.passes_errors,
-                          latest_us)
+                          latest_us, call.left)
         now_us = clock_us()
         while idle := self.idle.get(upstream):
             connection = idle[0]
