Don't write the rest of an attempt whose client has gone

A converter begins a request with its last byte. An attempt of which some bytes had been written counted as written, so where the rest still waited in the process for its converter to read on it was kept, and begun however long after its client had gone. It counts as written now once all of it has left the process; until then a client that goes, a final answer or a time-out closes its connection, and it never ran (the protocol's table: a connection that breaks before the last byte is written).

test_what_is_written_in_part_... fails without this: all 64,000 bytes of the body arrive.

--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -89,7 +89,7 @@
 
     @property
     def written(self) -> bool:
-        """Whether any of it has been written."""
+        """Whether all of it has left the process: before, it can't run."""
 
     def give_up(self) -> None:
         """Stop waiting: nothing more is written, and a connection that has carried it is closed."""
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -50,17 +50,22 @@
         self.ident = ident  # of the request, for the log
         self.ended = ended
         self.connection: Connection | None = None
-        self.written = False
+        self.begun = False  # some of it has been written
         self.given_up = False
         self.forgotten = False  # its upstream was, before its dial had begun
 
+    @property
+    def written(self) -> bool:
+        """Hazard: part of it may wait here until its upstream reads on; it runs once the last byte is there."""
+        return self.begun and (self.connection is None or not self.connection.unsent)
+
     def give_up(self) -> None:
         """Nothing more comes of it. A connection that has carried it is closed; one still coming up stays."""
         self.given_up = True
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.attempt = None
-            if self.written:
+            if self.begun:
                 connection.close()
 
     def end(self, result: Result) -> None:
@@ -136,7 +141,7 @@
         assert self.transport is not None
         self.attempt = attempt
         attempt.connection = self
-        attempt.written = True
+        attempt.begun = True
         self.parser = httptools.HttpResponseParser(self)
         self.complete = self.not_run = False
         self.status = 0
@@ -324,7 +329,7 @@
                 connection.attempt = None
                 connection.sock.close()
                 self.remove(connection)
-            if not attempt.given_up and not attempt.written:
+            if not attempt.given_up and not attempt.begun:
                 attempt.end(Result(Outcome.CONNECT_FAILED))
 
     def make_room(self) -> None:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -14,6 +14,7 @@
 import pytest
 
 from glenkeel.interface import RequestClass
+from plovertrail import system
 from plovertrail.host import Call, Host, Result
 from tests.net import (
     NOT_RUN,
@@ -21,6 +22,8 @@
     HeldDials,
     Sidecar,
     Upstream,
+    entry,
+    listing,
     read_message,
     request,
     run,
@@ -235,6 +238,39 @@
     run(test)
 
 
+def test_what_is_written_in_part_is_not_written_on_for_a_client_that_has_gone(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    tcp_socket = system.tcp_socket
+
+    def narrow(family: int) -> socket.socket:
+        sock = tcp_socket(family)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return sock
+
+    monkeypatch.setattr(system, "tcp_socket", narrow)
+
+    async def test() -> None:
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)  # it holds no whole request
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            known = listing(entry("u0", listener.getsockname()[1]))
+            async with sidecar(known=known, classes=KINDS) as it:
+                sock = connected(it, request("pay", "2", body=b"x" * 64_000))
+                converter = await asyncio.to_thread(lambda: listener.accept()[0])
+                await until(lambda: len(converter.recv(1, socket.MSG_PEEK)) > 0)
+                sock.close()
+                await asyncio.sleep(GONE_S)
+                converter.settimeout(1)
+                got = 0
+                while got < 64_000 and (more := await asyncio.to_thread(converter.recv, 65_536)):
+                    got += more.count(b"x")
+                assert 0 < got < 64_000
+                converter.close()
+
+    run(test)
+
+
 # A late loop: the client's end waits to be read when its request's turn comes
 
 
