--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -11,7 +11,7 @@
 
 from glenkeel.interface import Outcome
 from plovertrail import system
-from plovertrail.host import Call, Result, clock_us
+from plovertrail.host import Call, Result, clock_us, stays
 
 log = logging.getLogger(__name__)
 
@@ -42,24 +42,30 @@
     """One attempt: it has a connection, or waits until its connection is up."""
 
     def __init__(self, data: bytes, ended: Callable[[Result], None], ident: bytes = b"",
-                 passes_errors: bool = False, latest_us: int = 0) -> None:
+                 passes_errors: bool = False, latest_us: int = 0, left: Callable[[], bool] = stays) -> None:
         self.data = data
         self.latest_us = latest_us  # it must not be written later; 0 = no such time
         self.passes_errors = passes_errors
+        self.left = left  # whether its client has
         self.ident = ident  # of the request, for the log
         self.ended = ended
         self.connection: Connection | None = None
-        self.written = False
+        self.begun = False  # some of it has been written
         self.given_up = False
         self.forgotten = False  # its upstream was, before its dial had begun
 
+    @property
+    def written(self) -> bool:
+        """Hazard: part of it may wait here until its upstream reads on; it runs once the last byte is there."""
+        return self.begun and (self.connection is None or not self.connection.unsent)
+
     def give_up(self) -> None:
         """Nothing more comes of it. A connection that has carried it is closed; one still coming up stays."""
         self.given_up = True
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.attempt = None
-            if self.written:
+            if self.begun:
                 connection.close()
 
     def end(self, result: Result) -> None:
@@ -104,6 +110,10 @@
                 self.pool.put_idle(self)
             if attempt is not None:
                 attempt.end(Result(Outcome.CONNECT_FAILED))
+        elif self.attempt is not None and self.attempt.left():
+            attempt, self.attempt = self.attempt, None
+            self.pool.put_idle(self)
+            attempt.end(Result(Outcome.NOT_SENT))
         elif self.attempt is not None:
             self.send(self.attempt)
         else:
@@ -131,7 +141,7 @@
         assert self.transport is not None
         self.attempt = attempt
         attempt.connection = self
-        attempt.written = True
+        attempt.begun = True
         self.parser = httptools.HttpResponseParser(self)
         self.complete = self.not_run = False
         self.status = 0
@@ -271,7 +281,7 @@
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
               ended: Callable[[Result], None], latest_us: int = 0) -> Attempt:
         attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended, call.ident, call.passes_errors,
-                          latest_us)
+                          latest_us, call.left)
         now_us = clock_us()
         while idle := self.idle.get(upstream):
             connection = idle[0]
@@ -319,7 +329,7 @@
                 connection.attempt = None
                 connection.sock.close()
                 self.remove(connection)
-            if not attempt.given_up and not attempt.written:
+            if not attempt.given_up and not attempt.begun:
                 attempt.end(Result(Outcome.CONNECT_FAILED))
 
     def make_room(self) -> None:
