Close the connections that make room before new ones open

Cause: a dial at the pool's bound closes an idle connection and opens its own in the same turn of the loop, and what is closed keeps its descriptor until the next turn.

Change: what is being closed counts until its descriptor is free, and a dial waits a turn for it. An attempt that is given up, or whose upstream is forgotten, while it waits is told so as before its dial began.

On top, eight tests with real connections fill a process of 256 descriptors with idle clients of four kinds while discovery refuses or is silent, and hold that its watch comes up within 6 s and that attempts go out.

--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -81,6 +81,7 @@
         self.idle_since_us = 0
         self.idle_us = 0  # for how long it was idle before the request that it carries
         self.closed = False
+        self.lost = False  # nothing more is heard of it
         self.unsent = False  # part of what was written is still with us
         self.complete = False  # the answer is whole
         self.status = 0
@@ -236,9 +237,10 @@
         self.closed = True
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.closed = True
+        self.closed = self.lost = True
         self.parser = None  # hazard: they hold each other, and would wait for a rare full collection
         self.pool.remove(self)
+        self.pool.closing.discard(self)  # its descriptor is free before the loop's next turn
         if self.attempt is not None:
             # all that was written may have run; what was not written whole has not
             self.finish(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
@@ -247,6 +249,8 @@
         self.closed = True
         self.pool.remove(self)
         if self.transport is not None:
+            if not self.lost:
+                self.pool.closing.add(self)
             self.transport.abort()
 
 
@@ -264,8 +268,9 @@
         self.most = most  # connections
         self.connections: dict[int, set[Connection]] = {}  # all there are, also those coming up
         self.idle: dict[int, list[Connection]] = {}
+        self.closing: set[Connection] = set()  # of no more use, but their descriptors are not free yet
         self.dials: set[asyncio.Task[None]] = set()
-        self.to_dial: dict[Attempt, int] = {}  # attempts whose dial has not had its first step, with their upstreams
+        self.to_dial: dict[Attempt, int] = {}  # attempts that have no connection yet, with their upstreams
         self.sweeper = self.loop.call_later(1.0, self.sweep)
 
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
@@ -291,15 +296,15 @@
         return attempt
 
     async def dial(self, upstream: int, address: Address, attempt: Attempt) -> None:
+        room = await self.make_room(attempt)
         del self.to_dial[attempt]
-        if attempt.given_up:  # hazard: before this task's first step; it would be sent after the answer
+        if attempt.given_up:  # hazard: before it has a connection; it would be sent after the answer
             return
-        if attempt.forgotten:  # hazard: so too what drains; from the next line on its connection is known
+        if attempt.forgotten or not room:  # hazard: so too what drains; from the next line on its connection is known
             attempt.end(Result(Outcome.CONNECT_FAILED))
             return
         connection: Connection | None = None
         try:
-            self.make_room()
             family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
             sock = system.tcp_socket(family)
             connection = Connection(self, upstream, sock)
@@ -322,14 +327,18 @@
             if not attempt.given_up and not attempt.written:
                 attempt.end(Result(Outcome.CONNECT_FAILED))
 
-    def make_room(self) -> None:
-        """Hazard: silent upstreams, a connection for each attempt, would use up the descriptors."""
-        if sum(map(len, self.connections.values())) < self.most:
-            return
-        idle = [connection for group in self.idle.values() for connection in group]
-        if not idle:
-            raise OSError("too many connections to upstreams")
-        min(idle, key=lambda connection: connection.idle_since_us).close()
+    async def make_room(self, attempt: Attempt) -> bool:
+        """Whether there is room for one more. Hazards: silent upstreams, a connection for each attempt, would use up
+        the descriptors; and so would a burst of dials, each in place of an idle connection, as what is closed keeps its
+        descriptor until the loop's next turn."""
+        while sum(map(len, self.connections.values())) + len(self.closing) >= self.most and not attempt.given_up:
+            idle = [connection for group in self.idle.values() for connection in group]
+            if idle:
+                min(idle, key=lambda connection: connection.idle_since_us).close()
+            elif not self.closing:
+                return False
+            await asyncio.sleep(0)
+        return True
 
     def trusted(self, idle_us: int) -> bool:
         """Hazard: what lies between may drop idle connections sooner than the settings say, without a word.
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,216 @@
+"""Descriptors: whoever fills them, the watch comes up when discovery is back, and attempts go out."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import resource
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from glenkeel.interface import Outcome
+from plovertrail import system
+from plovertrail.host import Call, Result
+from plovertrail.upstreams import Pool
+from tests.net import (
+    OK,
+    PATIENCE_S,
+    SETTINGS,
+    Discovery,
+    Upstream,
+    answering,
+    configuration,
+    entry,
+    free_port,
+    listing,
+    read_message,
+    request,
+    run,
+    until,
+)
+
+ROOT = Path(__file__).resolve().parent.parent
+LIMIT = 256  # descriptors, the least that a sidecar is given
+TOLD_S = 6.0  # a change counts as told so long after discovery had it and could be reached
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def test_connections_that_make_room_are_closed_before_new_ones_open(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        opened: list[socket.socket] = []
+        most = 0
+
+        def counting(family: int) -> socket.socket:
+            nonlocal most
+            opened.append(socket.socket(family, socket.SOCK_STREAM))
+            most = max(most, sum(sock.fileno() >= 0 for sock in opened))
+            return opened[-1]
+
+        monkeypatch.setattr(system, "tcp_socket", counting)
+        pool, results = Pool(60_000_000, 10_000_000, most=8), list[Result]()
+        upstreams = [Upstream(answering(OK)), Upstream(answering(OK))]
+        call = Call(b"POST", b"/pay", [], b"", 0, 0, 1)
+        for number, upstream in enumerate(upstreams):
+            await upstream.start()
+            for _ in range(8):  # all at once
+                pool.start(number, ("127.0.0.1", upstream.port), call, 0, results.append)
+            await until(lambda number=number: len(results) == 8 * (number + 1))  # type: ignore[misc]
+        assert {result.outcome for result in results} == {Outcome.OK}
+        assert most == 8
+        given_up = [pool.start(0, ("127.0.0.1", upstreams[0].port), call, 0, results.append) for _ in range(8)]
+        await asyncio.sleep(0)  # their dials wait for room
+        for attempt in given_up[:4]:
+            attempt.give_up()
+        pool.forget(0)
+        await until(lambda: len(results) == 20 and not pool.dials)
+        assert {result.outcome for result in results[16:]} == {Outcome.CONNECT_FAILED}
+        assert len(upstreams[0].requests) == 8
+        for upstream in upstreams:
+            upstream.stop()
+        pool.sweeper.cancel()
+
+    run(test)
+
+
+@dataclass
+class Program:
+    """A sidecar in a process of its own that may hold LIMIT descriptors, and how many it was seen to hold."""
+
+    pid: int
+    port: int
+    most: int = 0
+
+    async def watch_descriptors(self) -> None:
+        while True:
+            self.most = max(self.most, len(os.listdir(f"/proc/{self.pid}/fd")))
+            await asyncio.sleep(0.002)
+
+    async def connect(self) -> Streams:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(self) -> bytes:
+        """The first line of the answer to a request on a connection of its own."""
+        reader, writer = await self.connect()
+        writer.write(request("pay"))
+        line = (await read_message(reader))[0].partition(b"\r\n")[0]
+        writer.close()
+        return line
+
+
+@asynccontextmanager
+async def program(folder: Path, upstream: Upstream, discovery_port: int) -> AsyncIterator[Program]:
+    """It has a list of 100 converters, all at the upstream's address."""
+    await upstream.start()
+    port = free_port()
+    # hazard: with a shorter aim, answers that were held back would be slow ones, and requests turned away for it
+    pay = {"name": "pay", "aim": 15_000_000, "deadline": 15_000_000, "effect": "at_most_once", "worth": 10.0}
+    invariants = SETTINGS["invariants"] | {"ask-within": 5_000_000}
+    bounds = SETTINGS["bounds"] | {"conn-idle": 30_000_000}
+    path = configuration(
+        folder, listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{discovery_port}", known=converters(upstream, 1),
+        settings=SETTINGS | {"request-classes": [pay], "invariants": invariants, "bounds": bounds},
+        limits={"cores": 1.0, "memory_mb": 192, "sockets": LIMIT})
+    log = folder / "log"
+    with log.open("wb") as file:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "plovertrail", cwd=ROOT, stderr=file, stdin=asyncio.subprocess.DEVNULL,
+            env=os.environ | {"BALANCER_CONFIG": str(path)},
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (LIMIT, LIMIT)))
+    found = Program(process.pid, port)
+    watching = asyncio.create_task(found.watch_descriptors())
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                try:
+                    (await found.connect())[1].close()
+                    break
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.02)
+        yield found
+        assert process.returncode is None
+        assert "no connection can be taken" not in log.read_text()
+        assert found.most < LIMIT
+    finally:
+        watching.cancel()
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        upstream.stop()
+
+
+def converters(upstream: Upstream, rev: int) -> dict[str, object]:
+    return listing(*(entry(f"u{number}", upstream.port) for number in range(100)), rev=rev)
+
+
+async def fill(sidecar: Program, kind: str, count: int) -> list[Streams]:
+    """Connections of so many idle clients, of one kind."""
+    async def one() -> Streams:
+        reader, writer = await sidecar.connect()
+        data = request("pay", body=b"0123456789", extra="X-Open: 1\r\n" if kind == "open" else "")
+        writer.write({"fresh": b"", "half": data[:-5]}.get(kind, data))
+        if kind == "kept":
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):  # it may have made room
+                await read_message(reader)
+        return reader, writer
+
+    return await asyncio.gather(*(one() for _ in range(count)))
+
+
+async def filling(sidecar: Program, kind: str, count: int, let: asyncio.Event) -> None:
+    """Put new ones in place of those that the sidecar has closed, until let go."""
+    open_ones: list[Streams] = []
+    while not let.is_set():
+        open_ones = [one for one in open_ones if not one[0].at_eof()]
+        open_ones += await fill(sidecar, kind, count - len(open_ones))
+        await asyncio.sleep(0.1)
+    for _, writer in open_ones:
+        writer.close()
+
+
+async def mute(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.read()
+    writer.close()
+
+
+@pytest.mark.parametrize("kind", ["fresh", "kept", "half", "open"])
+@pytest.mark.parametrize("away", ["refused", "silent"])
+def test_the_watch_and_attempts_come_up_though_idle_clients_fill_the_descriptors(
+        tmp_path: Path, kind: str, away: str) -> None:
+    async def test() -> None:
+        let = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            if b"X-Open" in upstream.requests[number][0]:
+                await let.wait()
+            writer.write(OK)
+
+        upstream, port = Upstream(script), free_port()
+        agent = await asyncio.start_server(mute, "127.0.0.1", port) if away == "silent" else None
+        async with program(tmp_path, upstream, port) as sidecar:
+            clients = asyncio.create_task(filling(sidecar, kind, 2 * LIMIT if kind != "open" else LIMIT // 2, let))
+            await asyncio.sleep(1.5)
+            assert sidecar.most > LIMIT // 2  # it is as full as it gets
+            if agent is not None:
+                agent.close()
+            discovery = Discovery(first=converters(upstream, 2))
+            discovery.server = await asyncio.start_server(discovery.serve, "127.0.0.1", port)
+            async with asyncio.timeout(TOLD_S):
+                await discovery.called.wait()
+            if kind == "open":
+                let.set()
+                await clients
+            async with asyncio.timeout(PATIENCE_S):
+                assert {await sidecar.ask() for _ in range(5)} == {b"HTTP/1.1 200 OK"}
+            let.set()
+            await clients
+            discovery.stop()
+
+    run(test)
