Test that dials that do not come up are within the pool's bound, and fill beyond it with open requests

Need: the bound on descriptors has to hold for dials that hang and for requests held open beyond what the sidecar takes. The first fails with dials left out of the bound, the other with twice the descriptors' number of clients taken; that one given up makes no room fails with its check left out of make_room.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -24,6 +24,7 @@
     PATIENCE_S,
     SETTINGS,
     Discovery,
+    HeldDials,
     Upstream,
     answering,
     configuration,
@@ -64,6 +65,9 @@
             await until(lambda number=number: len(results) == 8 * (number + 1))  # type: ignore[misc]
         assert {result.outcome for result in results} == {Outcome.OK}
         assert most == 8
+        pool.start(0, ("127.0.0.1", upstreams[0].port), call, 0, results.append).give_up()
+        await until(lambda: not pool.dials)
+        assert len(pool.idle[1]) == 8  # for one given up none makes room
         given_up = [pool.start(0, ("127.0.0.1", upstreams[0].port), call, 0, results.append) for _ in range(8)]
         await asyncio.sleep(0)  # their dials wait for room
         for attempt in given_up[:4]:
@@ -79,6 +83,26 @@
     run(test)
 
 
+def test_dials_that_do_not_come_up_are_within_the_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        upstream, held = Upstream(answering(OK)), HeldDials()
+        await upstream.start()
+        held.hold(upstream, monkeypatch)
+        pool, results = Pool(60_000_000, 10_000_000, most=8), list[Result]()
+        call = Call(b"POST", b"/pay", [], b"", 0, 0, 1)
+        for number in range(12):  # a converter each
+            pool.start(number, ("127.0.0.1", upstream.port), call, 0, results.append)
+        await until(lambda: len(results) == 4)
+        assert held.begun == 8 and {result.outcome for result in results} == {Outcome.CONNECT_FAILED}
+        held.let.set()
+        await until(lambda: len(results) == 12)
+        assert {result.outcome for result in results[4:]} == {Outcome.OK}
+        upstream.stop()
+        pool.sweeper.cancel()
+
+    run(test)
+
+
 @dataclass
 class Program:
     """A sidecar in a process of its own that may hold LIMIT descriptors, and how many it was seen to hold."""
@@ -195,7 +219,7 @@
         upstream, port = Upstream(script), free_port()
         agent = await asyncio.start_server(mute, "127.0.0.1", port) if away == "silent" else None
         async with program(tmp_path, upstream, port) as sidecar:
-            clients = asyncio.create_task(filling(sidecar, kind, 2 * LIMIT if kind != "open" else LIMIT // 2, let))
+            clients = asyncio.create_task(filling(sidecar, kind, 2 * LIMIT, let))
             await asyncio.sleep(1.5)
             assert sidecar.most > LIMIT // 2  # it is as full as it gets
             if agent is not None:
