--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -263,12 +263,6 @@
             self._finish(request)
             self._tell(api.RequestGone(ident))
 
-    def _look(self, request: Request) -> None:
-        """Hazard: a late loop has not read yet that the client has gone, nor has one in whose turn a slot frees as
-        well; its request would be sent on."""
-        if not request.over and request.call.left():
-            self.gone(request.ident)
-
     def list_changed(self, event: api.UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
         """Discovery has spoken; `addresses` has those of the entries of the event."""
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
@@ -368,6 +362,12 @@
 
     # Requests
 
+    def _look(self, request: Request) -> None:
+        """Hazard: a late loop has not read yet that the client has gone, nor has one in whose turn a slot frees as
+        well; its request would be sent on."""
+        if not request.over and request.call.left():
+            self.gone(request.ident)
+
     def _overdue(self, request: Request) -> None:
         if not request.over:
             log.warning("a request was overdue")
