Let half requests that stand still make room before a client that has just connected

Cause: with all places taken, whoever had connected last and sent nothing yet was closed in favour of half requests that had stood still for longer than a first request takes to come. Its request, on its way, was lost without an answer.

Measured: test_half_requests_that_stand_still_make_room_before_one_that_has_just_connected fails without the change, and with the time since the last byte left out of it.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -215,10 +215,11 @@
              State.ENDING: LONGEST_LINGER_S}  # an open request has its own deadline
 
 
-# who makes room: (state, for how long it has been in it, whether half a request may have come)
+# who makes room: (state, for how long it has been in it without a byte, whether half a request may have come).
+# Hazard: who has just connected is about to ask; half a request that stands still is given up before that one
 LEAST_USE = ((State.ENDING, 0.0, True), (State.FRESH, FIRST_COMES_S, False), (State.IDLE, 2.0, True),
-             (State.FRESH, 0.0, False), (State.IDLE, 0.0, True), (State.FRESH, 0.0, True),
-             (State.READING, 0.0, True))
+             (State.FRESH, FIRST_COMES_S, True), (State.FRESH, 0.0, False), (State.IDLE, 0.0, True),
+             (State.FRESH, 0.0, True), (State.READING, 0.0, True))
 
 
 class Client(asyncio.Protocol):
@@ -494,13 +495,15 @@
 
     def make_room(self) -> bool:
         """Of the connections with no request open the one goes that has been of no use for longest, half a
-        request last. Hazard: without a bound no descriptor would be left for upstreams and discovery."""
+        request that still comes last. Hazard: without a bound no descriptor would be left for upstreams and
+        discovery."""
         now = system.monotonic()
         for state, age_s, half in LEAST_USE:
             for client in self.clients[state]:
                 if client.since > now - age_s:
                     break
                 if (client.transport is not None and (half or client.size == 0) and client.flushed()
+                        and client.heard <= now - age_s
                         and (state is State.ENDING or client.quiet())):
                     client.close()
                     self.remove(client)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -18,6 +18,7 @@
 from glenkeel.interface import Outcome
 from plovertrail import system
 from plovertrail.host import Call, Result
+from plovertrail.server import FIRST_COMES_S
 from plovertrail.upstreams import Pool
 from tests.net import (
     OK,
@@ -34,8 +35,10 @@
     read_message,
     request,
     run,
+    status,
     until,
 )
+from tests.net import sidecar as net_sidecar
 
 ROOT = Path(__file__).resolve().parent.parent
 LIMIT = 256  # descriptors, the least that a sidecar is given
@@ -103,6 +106,31 @@
     run(test)
 
 
+def test_half_requests_that_stand_still_make_room_before_one_that_has_just_connected() -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with net_sidecar(upstream) as it:
+            data, halves = request("pay", body=b"0123456789"), list[Streams]()
+            for _ in range(95):  # of the 100 that it takes
+                halves.append(await it.connect())
+                halves[-1][1].write(data[:-5])
+                await asyncio.sleep(0.002)
+            await asyncio.sleep(FIRST_COMES_S + 0.1)
+            halves[5][1].write(data[-5:-4])  # this one still comes
+            reader, asker = await it.connect()
+            others = [await it.connect() for _ in range(20)]
+            await asyncio.sleep(0.1)
+            asker.write(request("pay"))
+            halves[5][1].write(data[-4:])
+            async with asyncio.timeout(PATIENCE_S):
+                assert status(await read_message(reader)) == 200
+                assert status(await read_message(halves[5][0])) == 200
+            for _, writer in (*halves, *others):
+                writer.close()
+
+    run(test)
+
+
 @dataclass
 class Program:
     """A sidecar in a process of its own that may hold LIMIT descriptors, and how many it was seen to hold."""
