--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -18,6 +18,7 @@
 from glenkeel.interface import Outcome
 from plovertrail import system
 from plovertrail.host import Call, Result
+from plovertrail.server import FIRST_COMES_S
 from plovertrail.upstreams import Pool
 from tests.net import (
     OK,
@@ -34,8 +35,10 @@
     read_message,
     request,
     run,
+    status,
     until,
 )
+from tests.net import sidecar as net_sidecar
 
 ROOT = Path(__file__).resolve().parent.parent
 LIMIT = 256  # descriptors, the least that a sidecar is given
@@ -103,6 +106,31 @@
     run(test)
 
 
+def test_half_requests_that_stand_still_make_room_before_one_that_has_just_connected() -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with net_sidecar(upstream) as it:
+            data, halves = request("pay", body=b"0123456789"), list[Streams]()
+            for _ in range(95):  # of the 100 that it takes
+                halves.append(await it.connect())
+                halves[-1][1].write(data[:-5])
+                await asyncio.sleep(0.002)
+            await asyncio.sleep(FIRST_COMES_S + 0.1)
+            halves[5][1].write(data[-5:-4])  # this one still comes
+            reader, asker = await it.connect()
+            others = [await it.connect() for _ in range(20)]
+            await asyncio.sleep(0.1)
+            asker.write(request("pay"))
+            halves[5][1].write(data[-4:])
+            async with asyncio.timeout(PATIENCE_S):
+                assert status(await read_message(reader)) == 200
+                assert status(await read_message(halves[5][0])) == 200
+            for _, writer in (*halves, *others):
+                writer.close()
+
+    run(test)
+
+
 @dataclass
 class Program:
     """A sidecar in a process of its own that may hold LIMIT descriptors, and how many it was seen to hold."""
@@ -187,13 +215,14 @@
     return await asyncio.gather(*(one() for _ in range(count)))
 
 
-async def filling(sidecar: Program, kind: str, count: int, let: asyncio.Event) -> None:
-    """Put new ones in place of those that the sidecar has closed, until let go."""
+async def filling(sidecar: Program, kind: str, count: int, full: asyncio.Event, let: asyncio.Event) -> None:
+    """Put new ones in place of those that the sidecar has closed, until it is full; they stay until let go."""
     open_ones: list[Streams] = []
-    while not let.is_set():
+    while not full.is_set():
         open_ones = [one for one in open_ones if not one[0].at_eof()]
         open_ones += await fill(sidecar, kind, count - len(open_ones))
         await asyncio.sleep(0.1)
+    await let.wait()
     for _, writer in open_ones:
         writer.close()
 
@@ -208,7 +237,7 @@
 def test_the_watch_and_attempts_come_up_though_idle_clients_fill_the_descriptors(
         tmp_path: Path, kind: str, away: str) -> None:
     async def test() -> None:
-        let = asyncio.Event()
+        full, let = asyncio.Event(), asyncio.Event()
 
         async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
                          writer: asyncio.StreamWriter) -> None:
@@ -219,7 +248,7 @@
         upstream, port = Upstream(script), free_port()
         agent = await asyncio.start_server(mute, "127.0.0.1", port) if away == "silent" else None
         async with program(tmp_path, upstream, port) as sidecar:
-            clients = asyncio.create_task(filling(sidecar, kind, 2 * LIMIT, let))
+            clients = asyncio.create_task(filling(sidecar, kind, 2 * LIMIT, full, let))
             await asyncio.sleep(1.5)
             assert sidecar.most > LIMIT // 2  # it is as full as it gets
             if agent is not None:
@@ -228,6 +257,7 @@
             discovery.server = await asyncio.start_server(discovery.serve, "127.0.0.1", port)
             async with asyncio.timeout(TOLD_S):
                 await discovery.called.wait()
+            full.set()
             if kind == "open":
                 let.set()
                 await clients
