Forget what a converter did before it started again under its uid

An entry with another start now counts as new; only the plan's advice, which is of the machine, stays.

The new test fails without the fix (1 of 40 requests goes there, 3 wanted).

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -649,25 +649,36 @@
             self.list_failures = self.ask_list_us = 0
         if event.kind is not api.ListKind.DELTA:
             self.servers = {e.id: self.servers[e.id] for e in event.upstreams if e.id in self.servers}
-        restarted = []
+        started = []
         for entry in event.upstreams:
             if entry.state is not api.UpstreamState.READY:
                 self.servers.pop(entry.id, None)  # rule 3: forgotten the moment we are told
                 continue
             away = self.settings.cross_zone_fee > 0 and entry.zone != self.settings.zone
             pool = self.pools[int(away)]
-            server = self.servers.setdefault(entry.id, Server(entry, pool, len(self.mean_us)))
+            server = self.servers.get(entry.id)
+            if server is None or server.entry.started_us != entry.started_us:
+                server = self.start_over(entry, pool)
+                started.append(server)
             server.slow_start |= event.kind is api.ListKind.CACHED
-            if server.entry.started_us != entry.started_us or server.next_cold == 0:
-                restarted.append(server)
             server.entry = entry
-        for server in restarted:
+        for server in started:  # beside all that are listed
             if self.warmth(server) < 1.0:  # all sidecars hear of it within moments: no burst of first sends
                 self.pace_cold(server, self.random.random())
         for pool in self.pools:
             pool.in_use = [server for server in pool.in_use if self.servers.get(server.entry.id) is server]
         self.count_planned()
 
+    def start_over(self, entry: api.Upstream, pool: Pool) -> Server:
+        """Nothing is known of an upstream that is new. Hazard: one that starts again under its name mostly was
+        gone before, and by the faults of its last moments it would rest for seconds while it is well; what is
+        still out to it then is its former self's. Advice is of the machine, so it stays."""
+        former = self.servers.get(entry.id)
+        server = self.servers[entry.id] = Server(entry, pool, len(self.mean_us))
+        if former is not None:
+            server.advice = former.advice
+        return server
+
     def on_plan(self, event: api.PlanUpdated) -> None:
         """Hazard: advice must never bring back what the list has taken away, so it is kept with the upstreams
         that are listed, and nowhere else."""
