Give cold converters their part of what is usual while requests find no slot

Their turns go by what a sidecar sees served; admission, at 0.15 to 0.25 as two to four warm ones are crowded, holds that down, and so the cold ones. A light sidecar's gap of many seconds also stood as reckoned at the start, though the cold one warmed meanwhile. From 19 s to 29 s, weighted by arrivals, 0.91 wait for their turn. Not it: the one slot (taken in 0.05). Heavy requests that are barred were not counted.

Turns now add up with warmth; while requests find no slot they follow the mean over a warm-up, if that is more than the last seconds'.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -27,6 +27,8 @@
 TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
 COLD_CARE = 1.3  # a cold upstream that is slow gets so many times less than its sure part
 MOST_COLD_ROOM = 0.5  # of the overload that pushes a cold one over; the rest is for lumps
+MOST_SAVED = 0.5  # of a request that a cold upstream may still get for what it has waited for
+SHORTEST_USUAL = 0.2  # of the warm-up's time, as smoothed: what was seen for less counts as if for so long
 COLD_GAIN = 0.5  # a cold one's answer moves their part by this, by the distance from the full load
 HEAVIEST_COLD = 4.0  # times the usual cost: what costs more goes to warm ones, where there are any
 FEWEST_IN_USE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
@@ -63,7 +65,13 @@
         self.admitted = 1.0  # part of the draws that may take a slot: falls while answers are slow all over
         self.credit = 1.0  # draws admitted and not yet used
         self.load = 0.0  # its answers' times of late: 1 = half the aim
-        self.served = 0.0  # answers so far, and a tenth of what was admitted
+        self.cold: list[Server] = []
+        self.warm_size = 0.0  # of the others together
+        # answers a second that this sidecar sees for a warm upstream of size 1, and a tenth of what was admitted:
+        self.part = 0.0  # of late
+        self.usual_part = 0.0  # as long as an upstream takes to warm
+        self.usual_weight = 0.0  # how much of that time it has seen, as it was smoothed
+        self.parted_us = now_us
         self.in_use: list[Server] = []  # upstreams whose slots are open; the others' stay closed till needed
         self.rate = 0.0  # sends a second, of late
         self.surge = 0.0  # the same, of the last moments only
@@ -89,7 +97,7 @@
         self.room = 0  # quick answers of late, less the slow ones and what it turned away
         self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
-        self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
+        self.turn = 0.0  # while it is cold: requests that it may get; below 0 it waits
         self.pace = 1.0  # time of its answers beside those of the others, smoothed
         self.slow_start = False  # its slots open fast until its first slow answer or fault
         self.faults = 0.0  # share of its attempts that failed at once or spoilt, smoothed
@@ -137,8 +145,10 @@
         self.mean_cost_us = 0.0  # of requests that tell theirs,
         self.costs_seen = 0  # and how many of late have
         self.pools = [Pool(now_us), Pool(now_us)]  # drawn from in this order; the second may stay empty
+        self.usual_us = max(settings.warm_up_us, RATE_MEMORY_US)
         self.retries = MOST_RETRIES  # reissues in hand
-        self.short_us = 0  # when a request last found no free slot
+        self.short_us = 0  # when a request last found no free slot; it tells of a shortage for two aims
+        self.short_for_us = 2 * max(c.aim_us for c in settings.classes)
         self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
         self.tenant_seen = [0.0 for _ in settings.tenants]  # arrivals of each, the old ones fading
         self.unsent = 0.0  # share of arrivals that found no free slot, the old ones fading
@@ -251,7 +261,7 @@
     def note_demand(self) -> None:
         for pool in self.pools:
             pool.credit = min(pool.credit + pool.admitted, 2.0)
-            pool.served += 0.1 * pool.admitted  # if all are cold, nothing else would open their slots
+            self.advance_turns(pool, 0.1 * pool.admitted)  # if all are cold, nothing else would open their slots
 
     def value(self, request: Request) -> float:
         """The worth of a slot's time given to this request; what is beyond its tenant's share counts less.
@@ -332,7 +342,7 @@
     def open_slots(self, server: Server) -> int:
         """How many of this sidecar's sends an upstream may have now; the one place where health lives."""
         cold = self.warmth(server) < 1.0
-        if self.now_us < server.rest_until_us or (cold and server.pool.served < server.next_cold):
+        if self.now_us < server.rest_until_us or (cold and server.turn < 0.0):
             return 0
         slots = 1 if cold else max(1, int(server.window))
         return min(slots, server.advice.most_slots) if server.advice.most_slots > 0 else slots
@@ -405,20 +415,41 @@
             return 1.0
         return s.cold_share + (1.0 - s.cold_share) * max(0, age_us) / s.warm_up_us
 
-    def pace_cold(self, server: Server, part: float) -> None:
-        """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool; and
-        the fleet serves no more than it can, however much is asked of it."""
-        whole = sum(self.share(other) for other in self.servers.values() if other.pool is server.pool)
-        gap = part * whole / self.share(server)
-        # what it has waited for is made up for, by half a turn at most
-        server.next_cold = max(server.next_cold, server.pool.served - gap / 2) + gap
+    def count_cold(self, pool: Pool) -> None:
+        listed = [server for server in self.servers.values() if server.pool is pool]
+        pool.cold = [server for server in listed if self.warmth(server) < 1.0]
+        pool.warm_size = sum(self.size(server) for server in listed if self.warmth(server) >= 1.0)
+
+    def advance_turns(self, pool: Pool, served: float) -> None:
+        """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool, so that
+        the fleet sends no more than it serves, however much is asked of it; or, where that is more, of what is
+        usual. Hazard: while many are cold the few others are crowded and draws are thinned, so by what is served
+        just then the cold ones would be held down with them, and as few would be served for the whole warm-up.
+        Over the fleet the usual parts add up to no more than a warm one has done: they are means over time."""
+        since_us, pool.parted_us = self.now_us - pool.parted_us, self.now_us
+        if any(self.warmth(server) >= 1.0 for server in pool.cold):
+            self.count_cold(pool)
+        shares = [self.share(server) for server in pool.cold]
+        part = served / max(pool.warm_size + sum(shares), SMALLEST_WINDOW)
+        since_s = since_us / A_SECOND_US
+        usual = pool.usual_part / max(pool.usual_weight, SHORTEST_USUAL)
+        short = self.short_us > 0 and self.now_us - self.short_us <= self.short_for_us
+        turn = part + (since_s * max(0.0, usual - pool.part) if short else 0.0)
+        for server, share in zip(pool.cold, shares, strict=True):
+            # what it has waited for is made up for, by half a turn at most
+            server.turn = max(server.turn, min(server.turn + turn * share, MOST_SAVED))
+        kept, kept_long = math.exp(-since_us / RATE_MEMORY_US), math.exp(-since_us / self.usual_us)
+        pool.part = pool.part * kept + part * A_SECOND_US / RATE_MEMORY_US
+        pool.usual_part = pool.usual_part * kept_long + part * A_SECOND_US / self.usual_us
+        pool.usual_weight = 1.0 - (1.0 - pool.usual_weight) * kept_long
 
     def share(self, server: Server) -> float:
-        """What an upstream gets beside a warm one, or one of size 1."""
-        warmth, size = self.warmth(server), server.entry.weight
-        if not self.settings.weighted or not 0.0 < size < math.inf:
-            size = 1.0
-        return size * (min(1.0, warmth * server.pool.cold_room) if warmth < 1.0 else 1.0)
+        """What a cold upstream gets beside a warm one of size 1."""
+        return self.size(server) * min(1.0, self.warmth(server) * server.pool.cold_room)
+
+    def size(self, server: Server) -> float:
+        size = server.entry.weight
+        return size if self.settings.weighted and 0.0 < size < math.inf else 1.0
 
     def cost(self, request: Request) -> float:
         """Beside the usual request's, as far as it tells."""
@@ -491,7 +522,7 @@
     def send(self, request: Request, server: Server) -> None:
         pool = server.pool
         if self.warmth(server) < 1.0:
-            self.pace_cold(server, self.cost(request))
+            server.turn -= self.cost(request)
         else:
             pool.credit = max(0.0, pool.credit - 1.0)
         server.used += 1
@@ -611,7 +642,7 @@
         if not lost and not self.turned_with_room(attempt, event.elapsed_us):
             self.judge(attempt, event.elapsed_us, request.event.class_index)
         if event.outcome in ANSWERED:
-            server.pool.served += 1.0
+            self.advance_turns(server.pool, 1.0)
             index = attempt.class_index
             server.silence[index] -= server.silence[index] / SILENCE_MEMORY
             server.mute[index] = server.mute_until_us[index] = 0
@@ -664,8 +695,9 @@
             server.entry = entry
         for server in started:  # beside all that are listed
             if self.warmth(server) < 1.0:  # all sidecars hear of it within moments: no burst of first sends
-                self.pace_cold(server, self.random.random())
+                server.turn = -self.random.random()
         for pool in self.pools:
+            self.count_cold(pool)
             pool.in_use = [server for server in pool.in_use if self.servers.get(server.entry.id) is server]
         self.count_planned()
 
