--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -56,9 +56,11 @@
     costs: str = EVEN
     load: float = 0.7  # first tries beside what all converters can do when warm
     seed: int = 1
+    moves: bool = False  # traffic moves to other sidecars in the moment of the starts
 
     def name(self) -> str:
-        return f"{self.sidecars} sidecars, {self.cold} cold, {self.costs}, load {self.load}"
+        moves = ", traffic moves" if self.moves else ""
+        return f"{self.sidecars} sidecars, {self.cold} cold, {self.costs}, load {self.load}{moves}"
 
 
 @dataclass
@@ -150,6 +152,10 @@
         self.now_us = until_us
 
     def start_cold(self) -> None:
+        if self.case.moves:  # from the busiest to the lightest
+            ranked = sorted(range(len(self.rates)), key=self.rates.__getitem__)
+            moved = {n: self.rates[other] for n, other in zip(ranked, reversed(ranked), strict=True)}
+            self.rates = [moved[n] for n in range(len(self.rates))]
         for converter in self.converters[:self.case.cold]:
             converter.started_us, converter.free_us = self.now_us, [self.now_us] * CORES
         self.tell_list()
@@ -189,7 +195,8 @@
         return sent / (can * self.case.cold)
 
 CASES = [Case(4, 1), Case(4, 4, HEAVY_HINTED, 2.0), Case(4, 10, HEAVY), Case(20, 1, EVEN, 2.0), Case(20, 4, HEAVY),
-         Case(20, 10, HEAVY_HINTED, 2.0), Case(30, 1, HEAVY_HINTED), Case(30, 4, EVEN, 2.0), Case(30, 10, HEAVY, 2.0)]
+         Case(20, 10, HEAVY_HINTED, 2.0), Case(30, 1, HEAVY_HINTED), Case(30, 4, EVEN, 2.0), Case(30, 10, HEAVY, 2.0),
+         Case(20, 4, EVEN, 2.0, moves=True)]
 
 
 @pytest.mark.parametrize("case", CASES, ids=Case.name)
