Keep the subset and the cold ones where a draw finds them at once

Each draw went through all listed ones for the cold, looked each up in a list, and asked of each what is the same for all: whether the request is bound to a group.

Change: the subset of upstreams in use is a dict, by the field's name; the pool's cold ones are those counted with their turns; the group is asked once a draw.

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -31,7 +31,7 @@
 SHORTEST_USUAL = 0.2  # of the warm-up's time, as smoothed: what was seen for less counts as if for so long
 COLD_GAIN = 0.5  # a cold one's answer moves their part by this, by the distance from the full load
 HEAVIEST_COLD = 4.0  # times the usual cost: what costs more goes to warm ones, where there are any
-FEWEST_IN_USE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
+SMALLEST_SUBSET = 4  # upstreams whose slots are open to a sidecar with next to no traffic
 A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
 SLOWEST_PACE = 4.0  # an answer that takes longer beside the usual one counts as this
 PACE_MEMORY = 4  # answers that make up an upstream's pace
@@ -74,7 +74,8 @@
         self.usual_part = 0.0  # as long as an upstream takes to warm
         self.usual_weight = 0.0  # how much of that time it has seen, as it was smoothed
         self.parted_us = now_us
-        self.in_use: list[Server] = []  # upstreams whose slots are open; the others' stay closed till needed
+        # the upstreams whose slots are open, in the order in which they came; the others' stay closed till needed
+        self.subset: dict[Server, None] = {}
         self.rate = 0.0  # sends a second, of late
         self.surge = 0.0  # the same, of the last moments only
         self.faults = 0.0  # share of all attempts that failed at once or spoilt, smoothed
@@ -403,8 +404,8 @@
             busy_us = max(min(self.mean_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
             rest_us = busy_us * (1.0 / server.window - 1.0) * (0.5 + self.random.random())
             server.rest_until_us = self.now_us + int(rest_us)
-        if server.window < 0.5 and server in pool.in_use:
-            pool.in_use.remove(server)  # another takes its place; it may come back when its rest is over
+        if server.window < 0.5 and server in pool.subset:
+            del pool.subset[server]  # another takes its place; it may come back when its rest is over
             self.actions.append(api.CloseIdle(server.entry.id))
         rests = server.window < (1.0 if server.rests else 0.25)
         change = "rests" if rests else "is back"
@@ -469,17 +470,17 @@
             # hazard: a cold one in no sidecar's use would have to wait till all others are full, and be of no
             # use while it warms; its part is small, and all together have to give it that. It is paced
             # by its turns, so it is not thinned; and a heavy request would be the work of many of them
-            cold = [s for s in self.servers.values() if s.pool is pool and self.warmth(s) < 1.0]
-            barred = cold if self.cost(request) > HEAVIEST_COLD and len(cold) < len(self.servers) else []
+            cold = {s: None for s in pool.cold if self.warmth(s) < 1.0}
+            barred = cold if self.cost(request) > HEAVIEST_COLD and len(cold) < len(self.servers) else {}
             if pool.credit < 1.0:
-                best = self.free_slots(request, [] if barred else cold, some_rest)
+                best = self.free_slots(request, [] if barred else [*cold], some_rest)
             else:
-                warm = [s for s in pool.in_use if s not in cold]
-                best = self.free_slots(request, warm if barred else warm + cold, some_rest)
-                if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
+                warm = [s for s in pool.subset if s not in cold]
+                best = self.free_slots(request, warm if barred else [*warm, *cold], some_rest)
+                if not best or len(pool.subset) < SMALLEST_SUBSET + int(pool.rate / A_SECOND_EACH):
                     # hazard: each sidecar connected to each upstream fills their tables of connections
                     others = [s for s in self.servers.values()
-                              if s.pool is pool and s not in pool.in_use and s not in barred]
+                              if s.pool is pool and s not in pool.subset and s not in barred]
                     best = self.free_slots(request, others, some_rest) or best
             if best:
                 return self.random.choices(best, [share for _, share in best])[0][0]
@@ -489,13 +490,13 @@
                    some_rest: bool) -> list[tuple[Server, float]]:
         """The upstreams with a slot free for it, each with its slots, which count less where it is slow."""
         tried = [attempt.server for attempt in request.attempts]
-        index = request.event.class_index
+        index, bound = request.event.class_index, self.bound_to(request)
         found = []
         for server in servers:
             slots = self.open_slots(server) - server.used
             rests = self.now_us < server.mute_until_us[index] and some_rest
             rests |= server.advice.rests and self.planned_rests
-            if slots > 0 and not rests and self.in_group(request, server):
+            if slots > 0 and not rests and (bound is None or self.in_group(bound, server)):
                 share = slots / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
                 share *= server.advice.weight
                 found.append((server, share / (1.0 + server.turned[index] / TURNED_BORNE)))
@@ -514,12 +515,14 @@
             return True
         return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
 
-    def in_group(self, request: Request, server: Server) -> bool:
-        """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats."""
+    def bound_to(self, request: Request) -> Attempt | None:
+        """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats; None = any."""
         first, kind = request.first_that_may_have_run(), self.class_of(request)
-        if first is None or kind.effect != "deduplicated" or kind.group == "all":
-            return True
-        if kind.group == "zone":
+        return first if kind.effect == "deduplicated" and kind.group != "all" else None
+
+    def in_group(self, first: Attempt, server: Server) -> bool:
+        """Whether an upstream drops the repeats of such an attempt."""
+        if self.settings.classes[first.class_index].group == "zone":
             return first.entry.zone == server.entry.zone
         return first.entry.cell == server.entry.cell
 
@@ -533,8 +536,7 @@
         since_us, pool.rated_us = self.now_us - pool.rated_us, self.now_us
         pool.rate = pool.rate * math.exp(-since_us / RATE_MEMORY_US) + 1_000_000 / RATE_MEMORY_US
         pool.surge = pool.surge * math.exp(-since_us / SURGE_MEMORY_US) + 1_000_000 / SURGE_MEMORY_US
-        if server not in pool.in_use:
-            pool.in_use.append(server)
+        pool.subset[server] = None
         # one budget for all that is sent again: in a storm a client's own retry earns none
         earns = RETRY_SHARE if not self.storm.active or request.event.tries == 0 else 0.0
         self.retries = min(MOST_RETRIES, self.retries + (earns if not request.attempts else -1.0))
@@ -699,7 +701,7 @@
                 server.turn = -self.random.random()
         for pool in self.pools:
             self.count_cold(pool)
-            pool.in_use = [server for server in pool.in_use if self.servers.get(server.entry.id) is server]
+            pool.subset = {s: None for s in pool.subset if self.servers.get(s.entry.id) is s}
         self.count_planned()
 
     def start_over(self, entry: api.Upstream, pool: Pool) -> Server:
--- a/ryepier/check/canonical.py
+++ b/ryepier/check/canonical.py
@@ -54,7 +54,7 @@
     def server(self, one: balance.Server) -> tuple[Any, ...]:
         return (self.rename[one.entry.id], one.entry.state.value, one.used, int(one.window), one.window < 1.0,
                 self.left(one.rest_until_us), tuple(one.mute), tuple(map(self.left, one.mute_until_us)), one.room,
-                one.slow_start, one in one.pool.in_use, len(one.out))
+                one.slow_start, one in one.pool.subset, len(one.out))
 
     def asked(self, one: balance.Request) -> tuple[Any, ...]:
         return (one.event.request, self.left(one.event.due_us), self.left(one.arrived_us + self.half_aim_us(one)),
--- a/ryepier/check/plants.py
+++ b/ryepier/check/plants.py
@@ -76,7 +76,7 @@
 
 def any_cell() -> None:
     """A keyed class is sent again anywhere."""
-    Balancer.in_group = lambda self, request, server: True  # type: ignore[method-assign]
+    Balancer.in_group = lambda self, first, server: True  # type: ignore[method-assign]
 
 
 def long_memory() -> None:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -394,7 +394,7 @@
         world.tell_list([Upstream(1000 + n)], ListKind.DELTA)
         churn(world, 5)
         world.tell_list([Upstream(1000 + n, UpstreamState.GONE)], ListKind.DELTA)
-    assert len(world.balancer.servers) == 4 and len(world.balancer.pools[0].in_use) <= 4
+    assert len(world.balancer.servers) == 4 and len(world.balancer.pools[0].subset) <= 4
 
 
 def busy_world() -> World:
