--- a/ryepier/commands/experiment.py
+++ b/ryepier/commands/experiment.py
@@ -14,6 +14,7 @@
 from ryepier.emulator.rig import RigError
 from ryepier.experiments import contract, report
 from ryepier.experiments.catalogue import EXPERIMENTS, MEASURED
+from ryepier.experiments.hollow import NotSpared
 
 ALL: dict[str, contract.Experiment | contract.Measured] = {**EXPERIMENTS, **MEASURED}
 
@@ -77,6 +78,9 @@
 def _failing_clearly(work: Callable[[], Any]) -> Any:
     try:
         return work()
+    except NotSpared as error:
+        print(f"ryepier experiment: {error}", file=sys.stderr)
+        sys.exit(2)
     except (RigError, OSError) as error:
         print(f"ryepier experiment: {error}", file=sys.stderr)
         sys.exit(1)
