Measure what the list of converters costs as the fleet grows

Need: the design size is 1,600 sidecars, and nothing told what the list costs there. scale-list runs hollow sidecars (module, host and watch, without requests; hundreds to a process) on loopback against a stand-in discovery: memory, CPU and bytes by 30 to 1,600 known converters, a zone's changes, broken watches, and a fleet that comes back after an outage. A light usage.py reads a process's own use, as hollow children start with it.

--- a/ryepier/experiments/hollow.py
+++ b/ryepier/experiments/hollow.py
@@ -11,15 +11,15 @@
 import resource
 import subprocess
 import sys
-import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
 from ryepier.emulator.rig import PAGE_KIB, TICKS_PER_S, RigError
+from ryepier.experiments.usage import Usage as Usage
+from ryepier.experiments.usage import own_usage as own_usage
 
 MOST_PROCESSES = 8
 MOST_BYTES = 10 * 10**9
@@ -27,14 +27,15 @@
 SPARE_SOCKETS = 64  # a process's own files, and connections on their way to be closed
 ANSWERS_WITHIN_S = 30.0
 LONGEST_LINE = 64 * 1024 * 1024
-MEMINFO, STAT, STATUS = "/proc/meminfo", "stat", "status"
+MEMINFO = "/proc/meminfo"
 
 
 class NotSpared(RigError):
     """The machine can't spare what a test needs, or the test asks for more than any may; nothing was started."""
 
 
-class Needs(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class Needs:
     """What a test asks for, all its processes together, its own too."""
 
     processes: int
@@ -42,7 +43,8 @@
     sockets: int = 0  # of the process that holds the most
 
 
-class Machine(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class Machine:
     """What this machine has."""
 
     total_bytes: int
@@ -50,17 +52,6 @@
     sockets: int  # file descriptors that a process may hold
 
 
-class Usage(msgspec.Struct, frozen=True):
-    """What a process has used so far, and holds now."""
-
-    cpu_s: float
-    resident_bytes: int
-
-    def since(self, earlier: Usage) -> float:
-        """CPU seconds between the two."""
-        return self.cpu_s - earlier.cpu_s
-
-
 def read_machine(meminfo: str, sockets: int) -> Machine:
     """From the text of /proc/meminfo. Raises KeyError where it lacks a line."""
     fields = dict(line.split(":", 1) for line in meminfo.splitlines() if ":" in line)
@@ -87,24 +78,12 @@
         raise NotSpared(f"{needs.sockets} sockets asked for in a process, which may hold {machine.sockets} files")
 
 
-def own_usage() -> Usage:
-    """Of this process, all its threads; its CPU to the microsecond."""
-    return Usage(time.process_time(), _resident_bytes(Path("/proc/self") / STATUS))
-
-
 def usage(pid: int) -> Usage:
     """Of another process; its CPU to a tick, 10 ms as a rule. Raises OSError where there is none."""
-    fields = (Path("/proc") / str(pid) / STAT).read_text().rpartition(")")[2].split()
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return Usage((int(fields[11]) + int(fields[12])) / TICKS_PER_S, int(fields[21]) * PAGE_KIB * 1024)
 
 
-def _resident_bytes(status: Path) -> int:
-    for line in status.read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * 1024
-    raise OSError("no resident memory told")
-
-
 class Child:
     """A hollow process, spoken to by lines."""
 
--- /dev/null
+++ b/tests/test_scale_list.py
@@ -0,0 +1,93 @@
+"""The list of a hollow fleet: its stand-in discovery, and real watches that follow it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import get_args
+
+import pytest
+
+from ryepier.emulator.rig import find_network
+from ryepier.experiments import scale_list
+from ryepier.experiments.contract import Scale
+from ryepier.experiments.fleet_list import Desk, Listing
+from ryepier.experiments.hollow_sidecar import Sidecars
+
+KNOWN, COUNT = 40, 3
+
+
+def followed(script: Callable[[Desk, Sidecars], Awaitable[None]], keeps_revisions: bool = True) -> None:
+    """Play a script with hollow sidecars of this very process that have the list."""
+    async def play() -> None:
+        address = (f"127.{find_network()}.254.2", scale_list.PORT)
+        desk = Desk(Listing(KNOWN, 1), address, keeps_revisions)
+        await desk.open()
+        try:
+            sidecars = Sidecars(address, 1)
+            await sidecars.start(COUNT)
+            await all_have(desk, sidecars)
+            await script(desk, sidecars)
+        finally:
+            desk.close()
+
+    asyncio.run(play())
+
+
+async def all_have(desk: Desk, sidecars: Sidecars) -> None:
+    said = await sidecars.until(desk.listing.registry.rev, 5.0)
+    assert said["have"] == COUNT
+
+
+def test_a_listing_is_drawn_from_its_seed() -> None:
+    one, same, other = Listing(KNOWN, 1), Listing(KNOWN, 1), Listing(KNOWN, 2)
+    assert one.registry.whole() == same.registry.whole() != other.registry.whole()
+    assert len({entry["uid"] for entry in one.present()}) == KNOWN
+
+
+def test_every_module_hears_of_every_change_once() -> None:
+    async def script(desk: Desk, sidecars: Sidecars) -> None:
+        chosen = desk.listing.pick(5)
+        before = sidecars.usage()["entries"]
+        for state in ("leaving", "left"):
+            desk.listing.change(chosen, state)
+            desk.tell_all()
+        await all_have(desk, sidecars)
+        assert sidecars.usage()["entries"] - before == 2 * 5 * COUNT
+        assert sidecars.memory()["known"] == COUNT * (KNOWN - 5)
+
+    followed(script)
+
+
+@pytest.mark.parametrize("keeps_revisions, whole", [(True, False), (False, True)])
+def test_a_watch_that_broke_is_told_what_it_missed(keeps_revisions: bool, whole: bool) -> None:
+    async def script(desk: Desk, sidecars: Sidecars) -> None:
+        wrote, calls = desk.bytes, len(desk.calls_us)
+        desk.listing.change([desk.listing.new()])
+        desk.encoded.clear()
+        desk.cut()
+        await all_have(desk, sidecars)
+        assert len(desk.calls_us) - calls == COUNT
+        assert (desk.bytes - wrote > COUNT * 1000) == whole
+        assert sidecars.memory()["known"] == COUNT * (KNOWN + 1)
+
+    followed(script, keeps_revisions)
+
+
+def test_discovery_that_comes_back_without_its_revisions_tells_the_whole_list() -> None:
+    async def script(desk: Desk, sidecars: Sidecars) -> None:
+        desk.close()
+        await asyncio.sleep(0.2)
+        desk.listing.change(desk.listing.pick(1), "left")
+        desk.listing.forget()
+        await desk.open()
+        await all_have(desk, sidecars)
+        assert sidecars.memory()["known"] == COUNT * (KNOWN - 1)
+
+    followed(script)
+
+
+def test_both_scales_ask_for_what_any_test_may() -> None:
+    for scale in get_args(Scale):
+        needs = scale_list.needs(scale)
+        assert needs.processes <= 8 and needs.bytes < 4e9
