Measure what the loss of a rack, a zone and a region costs the list's side

Need: at the design size 40, 200 or 800 converters go at once, and nothing told what telling all sidecars takes. scale-fail tells a few hollow sidecars that know 1,600 of bursts, and a growing fleet of a rack's and a zone's, one message a change and all in one; the whole fleet follows from the lines. Planted deaf: 800 converters that drain are still held for ready, and its claim fails. Both tests note the load average that they ran under.

--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -16,6 +16,7 @@
     planner_reconnect,
     planner_scale,
     planning,
+    scale_fail,
     scale_list,
     simulation,
     slicing,
@@ -227,4 +228,4 @@
 )}
 MEASURED: dict[str, Measured] = {one.name: one for one in (
     *planner_scale.EXPERIMENTS, *planner_reconnect.EXPERIMENTS, *slicing.MEASURED, *graphql_front.MEASURED,
-    *simulation.EXPERIMENTS, *scale_list.EXPERIMENTS)}
+    *simulation.EXPERIMENTS, *scale_list.EXPERIMENTS, *scale_fail.EXPERIMENTS)}
