--- a/ryepier/commands/experiment.py
+++ b/ryepier/commands/experiment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime
 import json
 import sys
 from collections.abc import Callable
@@ -12,7 +13,8 @@
 import msgspec
 
 from ryepier.emulator.rig import RigError
-from ryepier.experiments import contract, report
+from ryepier.experiments import capacity as table
+from ryepier.experiments import capacity_rows, contract, report
 from ryepier.experiments.catalogue import EXPERIMENTS, MEASURED
 from ryepier.experiments.hollow import NotSpared
 
@@ -95,3 +97,50 @@
     except (OSError, msgspec.MsgspecError) as error:
         print(f"ryepier experiment report: {folder}: no readable run: {error}", file=sys.stderr)
         sys.exit(2)
+
+
+KEPT = click.option("--kept", type=click.Path(exists=True, file_okay=False, path_type=Path), default="docs/capacity",
+                    show_default=True, help="The folder of kept results and of plan.json.")
+
+
+@experiment.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@KEPT
+def keep(folder: Path, kept: Path) -> None:
+    """Keep the result of the run in FOLDER for the capacity page, with the day it was written."""
+    try:
+        written = datetime.datetime.fromtimestamp((folder / contract.RESULT).stat().st_mtime, datetime.UTC)
+        print(table.keep(folder, kept, written.date().isoformat()))
+    except (OSError, table.CapacityError) as error:
+        print(f"ryepier experiment keep: {error}", file=sys.stderr)
+        sys.exit(2)
+
+
+@experiment.command()
+@KEPT
+@click.option("--page", type=click.Path(exists=True, dir_okay=False, path_type=Path),
+              help="Make its tables again in place, rather than print them.")
+@click.option("--check", is_flag=True, help="Write nothing; exit 1 if the page is not what the results say.")
+@click.option("--json", "as_json", is_flag=True, help="Print the rows as JSON.")
+def capacity(kept: Path, page: Path | None, check: bool, as_json: bool) -> None:
+    """Work the capacity tables out from kept results and the size to design for."""
+    if check and page is None:
+        raise click.BadParameter("there is no --page to check", param_hint="--check")
+    try:
+        plan, results = table.read_plan(kept), table.read_kept(kept)
+        made = table.parts(capacity_rows.ROWS, results, plan)
+        if as_json:
+            print(json.dumps(table.as_objects(table.work_out(capacity_rows.ROWS, results, plan))))
+        elif page is None:
+            print("\n\n".join(made.values()))
+        else:
+            before = page.read_text(encoding="utf-8")
+            after = table.put_in(before, made)
+            if not check:
+                page.write_text(after, encoding="utf-8")
+            elif before != after:
+                print(f"ryepier experiment capacity: {page} is not what {kept} says", file=sys.stderr)
+                sys.exit(1)
+    except table.CapacityError as error:
+        print(f"ryepier experiment capacity: {error}", file=sys.stderr)
+        sys.exit(2)
--- /dev/null
+++ b/ryepier/experiments/capacity_rows.py
@@ -0,0 +1,151 @@
+"""The rows of the capacity page: each role's resources, what carries them, and the figure that tells."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from ryepier.experiments.capacity import Plan, Row, Value, as_is, level, on_line, over_the_day
+
+LIST, FAIL, CONTROL, CALL, DEPTH = "scale-list", "scale-fail", "scale-control", "scale-call", "scale-depth"
+SIDECAR, PLANNER, DISCOVERY = "Sidecar", "Planner, one of seven", "Discovery and its agent"
+CONVERTER, SENDER = "Converter, as many sidecars call it", "Whoever sends out configuration"
+WATCH = "watch since a revision"
+WHOLE = "whole list, when its revisions are lost"
+REPORTS = "reports to every planner"
+MB = 1e-6
+FOLLOW_S = 2.0  # within which forwarders are to avoid a hung converter
+CALL_CPU = "cpu_us_a_call_369_per_s_{}_known"
+
+
+def converters(plan: Plan) -> float:
+    return plan.converters
+
+
+def region(plan: Plan) -> float:
+    return plan.converters / plan.regions
+
+
+def sidecars(plan: Plan) -> float:
+    return plan.sidecars
+
+
+def call_cores(figures: Mapping[str, float], plan: Plan) -> Value:
+    """Cores for the calls that a sidecar has a second."""
+    return on_line(CALL_CPU, converters, plan.calls_a_sidecar / 1e6)(figures, plan)
+
+
+def burst_ms(plan: Plan) -> float:
+    """CPU of a sidecar's budget over the time within which a change is to be in force."""
+    return plan.control_cores * plan.in_force_s * 1000
+
+
+def burst_kb(plan: Plan) -> float:
+    """Bytes of a sidecar's budget over that time."""
+    return plan.control_bytes_per_s * plan.in_force_s / 1000
+
+
+def in_force_s(plan: Plan) -> float:
+    return plan.in_force_s
+
+
+def control_bytes_per_s(plan: Plan) -> float:
+    return plan.control_bytes_per_s
+
+
+def sidecar_rows() -> list[Row]:
+    of_list = [
+        Row(role=SIDECAR, what="memory, all converters known", unit="MB", mechanism="Directory, module",
+            experiment=LIST, work=on_line("memory_bytes_{}", converters, MB, plus="base_mb"),
+            slope_unit="B a converter", budget=lambda plan: plan.control_bytes * MB),
+        Row(role=SIDECAR, what="CPU of a day's list changes", unit="cores", mechanism=WATCH, experiment=LIST,
+            work=over_the_day("idle_cores_{}", "change_cpu_us_{}", 1e-6, converters),
+            slope_unit="us a change, a converter", budget=lambda plan: plan.control_cores),
+        Row(role=SIDECAR, what="messages of a day's list changes", unit="B/s", mechanism=WATCH, experiment=LIST,
+            work=over_the_day("idle_bytes_per_s_{}", "change_bytes_{}", 1.0, converters), budget=control_bytes_per_s),
+        Row(role=SIDECAR, what="a zone's changes at once, CPU", unit="ms", mechanism=WATCH, experiment=LIST,
+            work=on_line("zone_singly_cpu_ms_{}", converters), slope_unit="ms a converter", budget=burst_ms),
+        Row(role=SIDECAR, what="a zone's changes at once, messages", unit="KB", mechanism=WATCH, experiment=LIST,
+            work=on_line("zone_singly_bytes_{}", converters, 1e-3), slope_unit="B a converter", budget=burst_kb),
+        Row(role=SIDECAR, what="a region's changes at once, CPU", unit="ms", mechanism=WATCH, experiment=FAIL,
+            work=on_line("burst_cpu_ms_{}", region), slope_unit="us a change", slope_times=1000.0, budget=burst_ms),
+        Row(role=SIDECAR, what="a region's changes in one message, CPU", unit="ms", mechanism=WATCH, experiment=FAIL,
+            work=on_line("together_cpu_ms_{}", region), slope_unit="us a change", slope_times=1000.0,
+            budget=burst_ms),
+        Row(role=SIDECAR, what="a region's changes at once, messages", unit="KB", mechanism=WATCH, experiment=FAIL,
+            work=on_line("burst_bytes_{}", region, 1e-3), slope_unit="B a change", budget=burst_kb),
+        Row(role=SIDECAR, what="whole list after a reconnect, CPU at a stretch", unit="ms", mechanism=WHOLE,
+            experiment=LIST, work=on_line("again_cpu_ms_{}", converters), slope_unit="us a converter",
+            slope_times=1000.0, budget=burst_ms),
+        Row(role=SIDECAR, what="whole list after a reconnect, message", unit="KB", mechanism=WHOLE, experiment=LIST,
+            work=on_line("again_bytes_{}", converters, 1e-3), slope_unit="B a converter", budget=burst_kb),
+    ]
+    of_reports = [row for in_use in (30, 150) for row in (
+        Row(role=SIDECAR, what=f"reports and plans, {in_use} in use, messages", unit="B/s", mechanism=REPORTS,
+            experiment=CONTROL, work=level(f"bytes_per_s_with_seven_{in_use}_in_use_{{}}"),
+            budget=control_bytes_per_s),
+        Row(role=SIDECAR, what=f"reports and plans, {in_use} in use, CPU", unit="cores", mechanism=REPORTS,
+            experiment=CONTROL, work=level(f"forwarder_cores_{in_use}_in_use_{{}}"),
+            budget=lambda plan: plan.control_cores))]
+    of_calls = [
+        Row(role=SIDECAR, what="a call's added time, 99 in 100", unit="ms", mechanism="one process, one loop",
+            experiment=CALL, work=on_line("added_p99_ms_369_per_s_{}_known", converters),
+            slope_unit="us a converter", slope_times=1000.0, budget=lambda plan: plan.added_ms),
+        Row(role=SIDECAR, what="CPU of its calls (no budget is set)", unit="cores", mechanism="one process, one loop",
+            experiment=CALL, work=call_cores, slope_unit="us a call, a converter"),
+    ]
+    return of_list + of_reports + of_calls
+
+
+def planner_rows() -> list[Row]:
+    return [row for in_use in (30, 150) for row in (
+        Row(role=PLANNER, what=f"CPU, {in_use} in use", unit="cores", mechanism=REPORTS, experiment=CONTROL,
+            work=on_line(f"planner_cores_needed_{in_use}_in_use_{{}}", sidecars), slope_unit="ms/s a forwarder",
+            slope_times=1000.0, budget=lambda plan: plan.planner_cores),
+        Row(role=PLANNER, what=f"memory, {in_use} in use", unit="MB", mechanism=REPORTS, experiment=CONTROL,
+            work=on_line(f"planner_resident_bytes_{in_use}_in_use_{{}}", sidecars, MB), slope_unit="KB a forwarder",
+            slope_times=1e-3, budget=lambda plan: plan.planner_bytes * MB),
+        Row(role=PLANNER, what=f"95% avoid a hung converter, {in_use} in use", unit="s", mechanism=REPORTS,
+            experiment=CONTROL, work=as_is(f"avoided_after_s_{in_use}_in_use"), budget=lambda plan: FOLLOW_S))]
+
+
+def discovery_rows() -> list[Row]:
+    return [
+        Row(role=DISCOVERY, what="calls after an outage", unit="calls", mechanism="one call a sidecar, every 0.1 s",
+            experiment=LIST, work=on_line("fleet_calls_{}", sidecars), slope_unit="a sidecar"),
+        Row(role=DISCOVERY, what="of these within 0.1 s", unit="of all", mechanism="one call a sidecar, every 0.1 s",
+            experiment=LIST, work=level("fleet_peak_share_{}")),
+        Row(role=DISCOVERY, what="until the last has its list of 150 again, on this one machine", unit="s",
+            mechanism="one call a sidecar, every 0.1 s", experiment=LIST,
+            work=on_line("fleet_back_after_s_{}", sidecars), slope_unit="ms a sidecar", slope_times=1000.0,
+            budget=in_force_s),
+        Row(role=DISCOVERY, what="whole lists to all after an outage", unit="MB", mechanism=WHOLE, experiment=LIST,
+            work=whole_lists, slope_unit="B a converter, a sidecar"),
+        Row(role=DISCOVERY, what="messages of a zone's changes", unit="messages", mechanism=WATCH, experiment=FAIL,
+            work=as_is("zone_messages", power=2)),
+        Row(role=DISCOVERY, what="until the last has a rack's changes, one by one", unit="s", mechanism=WATCH,
+            experiment=FAIL, work=as_is("rack_singly_last_s", power=1), budget=in_force_s),
+        Row(role=DISCOVERY, what="until the last has a zone's, one by one", unit="s", mechanism=WATCH, experiment=FAIL,
+            work=as_is("zone_singly_last_s", power=2), budget=in_force_s),
+        Row(role=DISCOVERY, what="until the last has a zone's, in one message", unit="s", mechanism=WATCH,
+            experiment=FAIL, work=as_is("zone_together_last_s", power=2), budget=in_force_s),
+        Row(role=DISCOVERY, what="until the last has a region's, one by one", unit="s", mechanism=WATCH,
+            experiment=FAIL, work=as_is("region_singly_last_s", power=2), budget=in_force_s),
+        Row(role=DISCOVERY, what="until the last has a region's, in one message", unit="s", mechanism=WATCH,
+            experiment=FAIL, work=as_is("region_together_last_s", power=2), budget=in_force_s),
+    ]
+
+
+def whole_lists(figures: Mapping[str, float], plan: Plan) -> Value:
+    """Bytes over the fleet, where all come back to a discovery without its revisions."""
+    return on_line("again_bytes_{}", converters, plan.sidecars * MB)(figures, plan)
+
+
+ROWS = (
+    *sidecar_rows(), *planner_rows(), *discovery_rows(),
+    Row(role=CONVERTER, what="connections that sidecars hold to it", unit="", mechanism="pool, idle ones closed",
+        note="hollow converters that count them while hollow sidecars call at 369 a second over 30 converters"),
+    Row(role=CONVERTER, what="what a cold one gets from all sidecars", unit="", mechanism="slow start by turns",
+        note="the release world in simulation at four fleet sizes, the load a converter kept"),
+    Row(role=SENDER, what="a change in force everywhere within 6 s", unit="",
+        note="SIGHUP takes only discovery's address; its design is below"),
+)
