--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -16,6 +16,8 @@
     planner_reconnect,
     planner_scale,
     planning,
+    scale_call,
+    scale_control,
     scale_list,
     simulation,
     slicing,
@@ -226,5 +228,6 @@
     *storms.EXPERIMENTS,
 )}
 MEASURED: dict[str, Measured] = {one.name: one for one in (
+    *scale_call.EXPERIMENTS, *scale_control.EXPERIMENTS,
     *planner_scale.EXPERIMENTS, *planner_reconnect.EXPERIMENTS, *slicing.MEASURED, *graphql_front.MEASURED,
     *simulation.EXPERIMENTS, *scale_list.EXPERIMENTS)}
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -40,6 +40,7 @@
 EVERY_LOST = 150  # answers; one of so many is never written
 SPIN_US = 400  # more than a request costs a sidecar that is well
 LATE_S = 5.0
+SCANS = 10
 LIES = 1000
 
 
@@ -132,6 +133,18 @@
     Host.arrived = arrived_slowly  # type: ignore[method-assign]
 
 
+def scan() -> None:
+    """Each draw goes ten more times through all upstreams."""
+    draw = Balancer.draw
+
+    def draw_after_a_look(self: Balancer, request: Request) -> Server | None:
+        for _ in range(SCANS):
+            self.free_slots(request, list(self.servers.values()), True)
+        return draw(self, request)
+
+    Balancer.draw = draw_after_a_look  # type: ignore[method-assign]
+
+
 def late_start() -> None:
     """It takes long to come up."""
     time.sleep(LATE_S)
@@ -185,6 +198,17 @@
     Leadership.__post_init__ = lead_at_once  # type: ignore[method-assign]
 
 
+def recount() -> None:
+    """A planner goes through all forwarders at each report."""
+    merge = Evidence.merge
+
+    def merge_and_recount(self: Evidence, now_us: int, name: str, boot: int, report: Report) -> bool:
+        self.heard(now_us)
+        return merge(self, now_us, name, boot, report)
+
+    Evidence.merge = merge_and_recount  # type: ignore[method-assign]
+
+
 def herd() -> None:
     """Forwarders wait for fixed times before they come back."""
     Forwarder.draw_s = lambda self, bound_s: bound_s  # type: ignore[method-assign]
@@ -314,12 +338,12 @@
     discovery.Discovery.changed = changed_since  # type: ignore[method-assign]
 
 
-PLANNERS_PLANTS = frozenset(("amnesiac", "credulous"))  # mistakes of a planner; all others are a sidecar's
+PLANNERS_PLANTS = frozenset(("amnesiac", "credulous", "recount"))  # mistakes of a planner; all others are a sidecar's
 PLANTS: dict[str, Callable[[], None]] = {
     "twice": twice, "deaf": deaf, "hold": held_answer, "lose": lose, "blind": blind, "crowd": crowd,
-    "no-advice": no_advice, "spin": spin, "late-start": late_start,
+    "no-advice": no_advice, "spin": spin, "scan": scan, "late-start": late_start,
     "trust-any": trust_any, "trust-none": trust_none, "amnesiac": amnesiac,
-    "credulous": credulous, "liar": liar,
+    "credulous": credulous, "liar": liar, "recount": recount,
     "first-word": first_word, "forgetful": forgetful,
     "answer-twice": answer_twice, "keep-after-time-out": keep_after_time_out, "forget-drain": forget_drain,
     "herd": herd, "no-spread": no_spread, "jumpy": jumpy, "last-writer": last_writer,
