--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -18,6 +18,7 @@
     planning,
     scale_call,
     scale_control,
+    scale_depth,
     scale_list,
     simulation,
     slicing,
@@ -228,6 +229,6 @@
     *storms.EXPERIMENTS,
 )}
 MEASURED: dict[str, Measured] = {one.name: one for one in (
-    *scale_call.EXPERIMENTS, *scale_control.EXPERIMENTS,
+    *scale_call.EXPERIMENTS, *scale_control.EXPERIMENTS, *scale_depth.EXPERIMENTS,
     *planner_scale.EXPERIMENTS, *planner_reconnect.EXPERIMENTS, *slicing.MEASURED, *graphql_front.MEASURED,
     *simulation.EXPERIMENTS, *scale_list.EXPERIMENTS)}
