Tell where the CPU of a list goes, part by part

A hollow sidecar's CPU is an upper bound, as hundreds push each other out of the caches. list_parts.py times parser, directory and module by themselves on whole lists and single changes.

--- a/ryepier/experiments/scale_list.py
+++ b/ryepier/experiments/scale_list.py
@@ -21,7 +21,7 @@
 from plovertrail.discovery import WATCH_AGAIN_S
 from ryepier.emulator.process import monotonic_us
 from ryepier.emulator.rig import RigError, find_network
-from ryepier.experiments import hollow, slopes, usage
+from ryepier.experiments import hollow, list_parts, slopes, usage
 from ryepier.experiments.contract import Claim, Measured, Scale
 from ryepier.experiments.fleet_list import Desk, Listing
 from ryepier.experiments.hollow import Child, Needs
@@ -303,6 +303,8 @@
     rows = asyncio.run(by_known(seed, scale, plant))
     fleets = asyncio.run(by_fleet(seed, scale, plant))
     found = derived(rows, base_bytes() / MB)
+    for known, row in rows.items():
+        row |= list_parts.measure(known, seed)
     figures = {f"{name}_{known}": value for known, row in rows.items() for name, value in row.items()}
     figures |= {f"fleet_{name}_{count}": value for count, row in fleets.items() for name, value in row.items()}
     return claims(rows, fleets, found), figures | found | busy
--- a/tests/test_scale_list.py
+++ b/tests/test_scale_list.py
@@ -9,7 +9,7 @@
 import pytest
 
 from ryepier.emulator.rig import find_network
-from ryepier.experiments import scale_list
+from ryepier.experiments import list_parts, scale_list
 from ryepier.experiments.contract import Scale
 from ryepier.experiments.fleet_list import Desk, Listing
 from ryepier.experiments.hollow_sidecar import Sidecars
@@ -91,3 +91,17 @@
     for scale in get_args(Scale):
         needs = scale_list.needs(scale)
         assert needs.processes <= 8 and needs.bytes < 4e9
+
+
+def test_a_lists_parts_are_all_timed() -> None:
+    found = list_parts.measure(KNOWN, 1)
+    assert {name for name in found if "_list_" in name} == {
+        f"alone_list_{part}_ms" for part in ("parse_one_piece", "parse", "directory", "module")}
+    assert {name for name in found if "_change_" in name} == {
+        f"alone_change_{part}_us" for part in ("parse", "directory", "module")}
+    assert all(spent > 0 for spent in found.values())
+
+
+def test_a_list_in_pieces_is_the_same_list() -> None:
+    data = list_parts.encode(Listing(KNOWN, 1).registry.whole())
+    assert list_parts.cut(data, 100) == list_parts.cut(data, len(data))
