--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -65,6 +65,11 @@
         capacity.line_of(a_row(), [kept({"cpu_10_known": 1.0, "other_20_known": 1.0})], PLAN)
 
 
+def test_a_seed_that_lacks_a_figure_is_not_named() -> None:
+    line = capacity.line_of(a_row(), [kept(STEP), kept({}, 2), kept(STEP, 3)], PLAN)
+    assert line.seeds == (1, 3) and line.value is not None and line.value.median == pytest.approx(161.0)
+
+
 def test_what_breaks_first_is_what_is_missing_and_then_by_size() -> None:
     rows = [a_row(budget=budget) for budget in (1000.0, 81.0, 41.0)] + [a_row(mechanism="")]
     order = capacity.breaks(capacity.work_out(rows, [kept(STEP)], PLAN))
