--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,336 @@
+"""The scale tests of planners, calls and chains: how their figures are worked out, and chains in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import cProfile
+import json
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from glenkeel.balance import Balancer
+from plovertrail import config, system
+from ryepier.emulator.rig import find_network
+from ryepier.experiments import gauged_planner, planted, scale_call, scale_control, scale_depth
+from ryepier.experiments.chains import Chain, play
+from ryepier.experiments.contract import Claim
+from ryepier.experiments.gauged_planner import Gauge
+from ryepier.experiments.hollow import Usage
+from ryepier.experiments.hollow_converters import ANSWER, Setup, listing, serve
+from ryepier.experiments.hollow_forwarders import CALLS_PER_S, Counts, Hollow, converters_of, uid
+from ryepier.experiments.hollow_forwarders import Setup as ForwardersSetup
+from ryepier.experiments.scale_call import REQUEST, Target
+from ryepier.experiments.scale_control import Look, Sample
+from ryepier.plan.messages import Report, Term, encode
+from ryepier.plan.planner import Server
+
+SIZES = (50, 100, 200, 400)
+
+
+def failing(claims: list[Claim]) -> list[str]:
+    return [claim.name for claim in claims if not claim.holds]
+
+
+# scale-control: what a hollow forwarder reports
+
+
+def hollow(index: int = 0, in_use: int = 30) -> Hollow:
+    return Hollow(index, ForwardersSetup(("127.0.0.1", 1), 0, 1, in_use, 1, 10), Counts())
+
+
+def report(one: Hollow, number: int = 1) -> Report:
+    return one.reporter.report(one.machine.clock_us(), len(one.idents), Term(number, "a"), 0)
+
+
+def test_a_service_has_as_many_converters_as_callers() -> None:
+    callers: dict[int, int] = {}
+    for index in range(120):
+        for number in converters_of(index, 30):
+            callers[number] = callers.get(number, 0) + 1
+    assert len(callers) == 120 and set(callers.values()) == {30}
+
+
+def test_a_hollow_forwarder_reports_the_calls_of_its_sidecar() -> None:
+    one = hollow()
+    before = report(one).seen
+    one.make_up(one.filled_s + 10.0)
+    after = report(one).seen
+    made = sum(after[name].sends - before[name].sends for name in after)
+    assert made == pytest.approx(10 * CALLS_PER_S, rel=0.1)
+    assert all(seen.bad == 0 and sum(seen.times) == seen.served for seen in after.values())
+
+
+def test_a_report_takes_as_much_of_the_wire_after_a_day_as_at_the_start() -> None:
+    one = hollow()
+    lengths = []
+    for hour in range(1, 25, 6):
+        one.make_up(one.filled_s + hour * 3600.0)
+        lengths.append(len(encode(report(one))))
+    assert max(lengths) < 1.1 * min(lengths)
+
+
+def test_what_hangs_is_reported_as_bad_and_nothing_else_is() -> None:
+    one = hollow()
+    one.hang(uid(0))
+    before = report(one).seen
+    one.make_up(one.filled_s + 2.0)
+    after = report(one).seen
+    assert after[uid(0)].bad > 0 and after[uid(0)].served == before[uid(0)].served
+    assert {name for name, seen in after.items() if seen.bad} == {uid(0)}
+
+
+def test_a_planted_forwarder_reports_of_all_converters() -> None:
+    one = hollow()
+    one.use(range(200))
+    one.make_up(one.filled_s + 100.0)
+    assert len(report(one).seen) == 200
+
+
+# scale-control: figures and claims
+
+
+def look(cpu_s: float, tick_cpu_s: float, ticks: int, reports: int, waited_s: float = 0.0) -> Look:
+    return Look(Usage(cpu_s, 100_000_000), Gauge(cpu_s, tick_cpu_s, ticks, reports, ticks // 2), waited_s)
+
+
+def test_a_planner_that_is_late_does_not_look_cheap() -> None:
+    # 100 forwarders: a tick takes 20 ms and a report 1 ms, in time and with half of both left out
+    prompt = scale_control.planner_row(100, 10.0, look(1.0, 0.0, 0, 0), look(3.8, 0.8, 40, 2000))
+    late = scale_control.planner_row(100, 10.0, look(1.0, 0.0, 0, 0), look(2.4, 0.4, 20, 1000, 5.6))
+    for row in (prompt, late):
+        assert row["planner_cpu_ms_a_tick"] == pytest.approx(20)
+        assert row["planner_cpu_us_a_report"] == pytest.approx(1000)
+        assert row["planner_cores_needed"] == pytest.approx(0.28)
+    assert late["planner_cores"] < prompt["planner_cores"]
+    assert late["planner_wait_share"] == pytest.approx(0.8)
+
+
+def sample(**changes: Any) -> Sample:
+    return msgspec.structs.replace(Sample(0.0, 0.0, 0, 10, 10, 0, 0, 0, 0, 10, 0, []), **changes)
+
+
+def test_seven_planners_cost_seven_times_the_reports_and_beats_and_once_the_plans() -> None:
+    before = [sample(), sample()]
+    after = [sample(at_s=2.0, bytes_out=20_000, bytes_in=4_000, plan_bytes=3_000)] * 2
+    row = scale_control.forwarder_row(20, 2.0, before, after)
+    assert row["bytes_out_per_s"] == 1000 and row["bytes_in_per_s"] == 200
+    assert row["bytes_per_s_with_seven"] == 7 * (1000 + 50) + 150
+
+
+def test_avoiding_counts_once_nearly_all_that_call_it_do() -> None:
+    times = [float(number) for number in range(1, 20)]
+    assert scale_control.quantile_s([sample(users=20, avoids_after_s=times)], 0.95) == 19.0
+    assert scale_control.quantile_s([sample(users=20, avoids_after_s=times[:-1])], 0.95) == float("inf")
+    assert scale_control.quantile_s([sample()], 0.95) == float("inf")
+
+
+def rows(power: float, bytes_power: float = 0.0) -> dict[int, dict[str, float]]:
+    return {size: {"planner_cores_needed": 0.001 * size**power, "planner_cpu_ms_a_tick": 0.1 * size,
+                   "planner_cpu_us_a_report": 200.0, "planner_resident_bytes": 3e7 + 4e4 * size,
+                   "planner_wait_share": 0.1, "connected_share": 1.0, "reporters_share": 1.0,
+                   "bytes_out_per_s": 2000.0 * (size / SIZES[0]) ** bytes_power, "bytes_per_s_with_seven": 15_000.0,
+                   "forwarder_cores": 0.002} for size in SIZES}
+
+
+WHOLE = {"forwarder_resident_bytes": 5e4, "avoided_after_s": 1.5}
+
+
+def test_a_planner_that_grows_faster_than_its_fleet_fails_a_claim() -> None:
+    assert not failing(scale_control.claims_of(30, rows(1.0), WHOLE))
+    found = failing(scale_control.claims_of(30, rows(2.0), WHOLE))
+    assert len(found) == 1 and "cores that the planner needs" in found[0]
+
+
+def test_reports_that_grow_with_the_fleet_fail_a_claim() -> None:
+    assert any("bytes out" in name for name in failing(scale_control.claims_of(30, rows(1.0, 1.0), WHOLE)))
+
+
+def test_a_planner_that_is_not_followed_or_had_no_core_fails_a_claim() -> None:
+    assert failing(scale_control.claims_of(30, rows(1.0), WHOLE | {"avoided_after_s": float("inf")}))
+    starved = {size: row | {"planner_wait_share": 0.9} for size, row in rows(1.0).items()}
+    assert any("too busy" in name for name in failing(scale_control.claims_of(30, starved, WHOLE)))
+
+
+def test_what_the_size_to_design_for_takes_is_on_the_line_and_beside_its_budget() -> None:
+    found = scale_control.figures_of(30, rows(1.0), WHOLE)
+    assert found["design_planner_cores_needed_30_in_use"] == pytest.approx(1.6)
+    assert found["design_share_of_budget_planner_cores_needed_30_in_use"] == pytest.approx(3.2)
+    assert found["design_share_of_budget_bytes_per_s_with_seven_30_in_use"] == pytest.approx(5.0)
+    assert found["fit_planner_cores_needed_30_in_use_to_size"] == SIZES[-1]
+
+
+@pytest.fixture
+def the_usual_tick() -> Iterator[None]:
+    usual = Server.tick
+    yield
+    Server.tick = usual  # type: ignore[method-assign]
+
+
+@pytest.mark.usefixtures("the_usual_tick")
+def test_a_gauged_planner_tells_what_it_did(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    class Ticking:
+        counts = {"reports": 7, "plans": 2}
+
+    monkeypatch.setattr(Server, "tick", lambda self, now_us, tick: sum(range(100_000)))
+    gauging = gauged_planner.Gauging(tmp_path / "gauge")
+    gauging.install()
+    Server.tick(Ticking(), 0, 3)  # type: ignore[arg-type]
+    for _ in range(100):
+        try:
+            gauge = gauged_planner.read(gauging.path)
+        except FileNotFoundError:
+            gauge = Gauge(0.0, 0.0, 0, 0, 0)
+        if gauge.ticks:
+            break
+        time.sleep(0.05)
+    assert (gauge.ticks, gauge.reports, gauge.plans) == (3, 7, 2) and 0 < gauge.tick_cpu_s <= gauge.cpu_s
+
+
+# scale-call
+
+
+def test_an_answers_length_is_read_from_its_head() -> None:
+    assert scale_call.body_length(b"HTTP/1.1 200 OK\r\nContent-Length: 42\r\nX: y") == 42
+    assert scale_call.body_length(b"HTTP/1.1 204 No Content\r\nX: y") == 0
+
+
+def target(due: int, took_us: list[int]) -> Target:
+    return Target(("127.0.0.1", 1), REQUEST, due=due, served=len(took_us), took_us=took_us)
+
+
+def test_a_call_costs_by_the_answers_and_adds_to_the_direct_one() -> None:
+    row = scale_call.phase_row("x", 2.0, target(200, [1000] * 100), target(200, [400] * 200), (50_000_000, 50_000_000))
+    assert row["cpu_us_a_call_x"] == 500 and row["cores_x"] == 0.025 and row["wait_share_x"] == 0.5
+    assert row["answered_share_x"] == 0.5 and row["served_share_x"] == 1.0
+    assert row["added_p99_ms_x"] == pytest.approx(0.6)
+
+
+def test_no_answer_is_told_as_endless() -> None:
+    row = scale_call.phase_row("x", 2.0, target(200, []), target(200, [400]), (50_000_000, 0))
+    assert row["p99_ms_x"] == float("inf") and row["served_share_x"] == 0.0
+
+
+def calls(us_a_known: float) -> dict[str, float]:
+    found = {f"cpu_us_a_call_369_per_s_{known}_known": 200 + us_a_known * known for known in scale_call.KNOWN}
+    found |= {"added_p99_ms_369_per_s_1600_known": 0.66, "served_share_369_per_s_30_known": 1.0}
+    return found | scale_call.summary(found)
+
+
+def test_a_call_that_grows_too_fast_with_the_list_fails_a_claim() -> None:
+    assert calls(0.5)["fit_cpu_us_a_call_per_unit"] == pytest.approx(0.5)
+    assert calls(0.5)["design_share_of_budget_added_p99_ms"] == pytest.approx(2.0)
+    assert not failing(scale_call.claims_of(calls(0.5)))
+    assert failing(scale_call.claims_of(calls(5.0)))
+
+
+def test_a_sidecar_reads_the_configuration_that_it_is_given(tmp_path: Path) -> None:
+    path = tmp_path / "sidecar.json"
+    path.write_text(scale_call.settings_of(1, 400, ("127.1.2.3", 9000), ("127.1.2.4", 8500), ("127.1.2.5", 9000)))
+    read = config.load(str(path))
+    assert len(read.known["targets"]) == 400 and read.settings.classes[0].effect == "idempotent"
+    assert read.known == listing(400, ("127.1.2.5", 9000))
+
+
+def test_stand_in_converters_answer_each_call_and_tell_their_list(capsys: pytest.CaptureFixture[str],
+                                                                  monkeypatch: pytest.MonkeyPatch) -> None:
+    network = find_network()
+    converters, agent = (f"127.{network}.0.1", 9000), (f"127.{network}.252.1", 8500)
+
+    async def ask(address: tuple[str, int], data: bytes, until: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(data)
+        answer = await reader.readuntil(until)
+        writer.close()
+        return answer
+
+    async def script() -> None:
+        serving = asyncio.create_task(serve(Setup(converters, {30: agent})))
+        async with asyncio.timeout(10):
+            while "{}" not in capsys.readouterr().out:
+                await asyncio.sleep(0.01)
+            twice = await ask(converters, 2 * (REQUEST % 1), b"done" + ANSWER)
+            assert twice == 2 * ANSWER
+            lines = await ask(agent, b"GET /discovery/hosts?since=0&follow=1 HTTP/1.1\r\n\r\n", b"}\n")
+            assert len(json.loads(lines.rpartition(b"\r\n")[2])["targets"]) == 30
+            told.set()
+            await serving
+
+    told = asyncio.Event()
+
+    async def wait_for_told(loop: Any, executor: Any, function: Any) -> None:
+        await told.wait()
+
+    monkeypatch.setattr(asyncio.BaseEventLoop, "run_in_executor", wait_for_told)
+    asyncio.run(script())
+
+
+def test_a_profile_tells_our_own_functions_by_their_time(tmp_path: Path) -> None:
+    profile = cProfile.Profile()
+    profile.runcall(play, Chain(1, 0.0, 50, 100.0, 1))
+    profile.dump_stats(tmp_path / "profile")
+    found = dict(scale_call.top_functions(tmp_path / "profile", 50))
+    assert len(found) == scale_call.PROFILED_FUNCTIONS and "balance.free_slots" in found
+    assert list(found.values()) == sorted(found.values(), reverse=True)
+
+
+# scale-depth
+
+
+def chain(depth: int, share: float, **changes: Any) -> Chain:
+    return msgspec.structs.replace(Chain(depth, share, 60, 100.0, 1), **changes)
+
+
+def test_a_chain_that_is_well_reaches_its_end_once_a_call() -> None:
+    seen = play(chain(7, 0.0))
+    assert seen.attempts == seen.first == [60] * 7 and seen.served == seen.answered == 60
+
+
+def test_a_chain_is_the_same_for_the_same_seed_and_leaves_the_clock() -> None:
+    before = system.monotonic_ns
+    one, same, other = play(chain(3, 0.5)), play(chain(3, 0.5)), play(chain(3, 0.5, seed=2))
+    assert one == same != other and system.monotonic_ns is before
+
+
+def test_attempts_stay_within_the_hops_budgets_and_every_call_is_answered() -> None:
+    for depth in (1, 3):
+        for share in (0.5, 1.0):
+            seen = play(chain(depth, share))
+            assert seen.answered == 60
+            assert scale_depth.row(chain(depth, share), seen)["over_bound"] <= 1.0
+
+
+def test_a_class_that_is_never_sent_twice_is_not() -> None:
+    seen = play(chain(3, 0.5, effect="at_most_once"))
+    assert seen.attempts[-1] <= 60 and seen.served < 60
+
+
+def test_without_a_budget_attempts_go_beyond_its_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "send", Balancer.send)  # put back at the end
+    planted.PLANTS["no-budget"]()
+    one = chain(1, 0.5, calls=300)
+    assert scale_depth.row(one, play(one))["over_bound"] > 1.0
+
+
+def test_a_chain_without_end_is_broken_off_and_fails_a_claim() -> None:
+    one = chain(1, 0.5, most_attempts=20)
+    seen = play(one)
+    assert seen.broken_off and seen.attempts[-1] == 20
+    rows = {"unsafe_11_deep_0.5_failing": scale_depth.row(one, seen)}
+    assert failing(scale_depth.claims_of(rows))
+
+
+def test_the_bound_is_a_fifth_more_a_hop_and_what_is_in_hand() -> None:
+    assert scale_depth.bound(chain(1, 0.5), 10_000_000) == pytest.approx(1.2, rel=1e-4)
+    assert scale_depth.bound(chain(11, 0.5), 10_000_000) == pytest.approx(7.43, rel=1e-3)
+    assert scale_depth.bound(chain(1, 0.5), 10) == pytest.approx(1.2 + 1.5)
+
+
+def test_the_factor_of_a_hop_is_the_logarithms_slope() -> None:
+    found = scale_depth.summary({name: {"attempts_a_call": 1.1 ** one.depth}
+                                 for name, one in scale_depth.runs(1, "small").items()})
+    assert found["factor_a_hop_0.5_failing"] == pytest.approx(1.1)
