--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -19,6 +19,7 @@
     scale_call,
     scale_control,
     scale_depth,
+    scale_fail,
     scale_list,
     simulation,
     slicing,
@@ -231,4 +232,4 @@
 MEASURED: dict[str, Measured] = {one.name: one for one in (
     *scale_call.EXPERIMENTS, *scale_control.EXPERIMENTS, *scale_depth.EXPERIMENTS,
     *planner_scale.EXPERIMENTS, *planner_reconnect.EXPERIMENTS, *slicing.MEASURED, *graphql_front.MEASURED,
-    *simulation.EXPERIMENTS, *scale_list.EXPERIMENTS)}
+    *simulation.EXPERIMENTS, *scale_list.EXPERIMENTS, *scale_fail.EXPERIMENTS)}
