Tell the module's own part of a call's CPU by the list's length

Through a sidecar, CPU of a call hangs on who else has the core and its caches. The module alone, in virtual time, opened to as many upstreams as 369 calls a second take, tells its part by itself. Figures that never came are left out of a result, which has no number for them; the claims go on to fail by them.

--- a/ryepier/experiments/scale_control.py
+++ b/ryepier/experiments/scale_control.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import subprocess
 import sys
@@ -126,6 +127,11 @@
     return time.process_time() - begun_s
 
 
+def finite(found: Mapping[str, float]) -> dict[str, float]:
+    """Without what never came, which a result has no number for; the claims tell of it. Pure."""
+    return {name: value for name, value in found.items() if math.isfinite(value)}
+
+
 def quantile_s(samples: Sequence[Sample], share: float) -> float:
     """Seconds until so many of those that call the hung converter avoid it; infinite where they never did. Pure."""
     users = sum(sample.users for sample in samples)
@@ -297,7 +303,7 @@
         found |= figures_of(in_use, rows, whole)
         claims += claims_of(in_use, rows, whole)
     found |= {"load_average_after": os.getloadavg()[0], "pace_after": pace()}
-    return claims, found
+    return claims, finite(found)
 
 
 EXPERIMENTS = (Measured("scale-control", "one planner as up to 1,600 hollow forwarders report to it", perform,
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -210,6 +210,10 @@
     assert row["added_p99_ms_x"] == pytest.approx(0.6)
 
 
+def test_a_result_holds_what_is_a_number() -> None:
+    assert scale_control.finite({"a": 1.0, "b": float("inf"), "c": float("nan"), "d": -2.0}) == {"a": 1.0, "d": -2.0}
+
+
 def test_no_answer_is_told_as_endless() -> None:
     row = scale_call.phase_row("x", 2.0, target(200, []), target(200, [400]), (50_000_000, 0))
     assert row["p99_ms_x"] == float("inf") and row["served_share_x"] == 0.0
@@ -217,17 +221,37 @@
 
 def calls(us_a_known: float) -> dict[str, float]:
     found = {f"cpu_us_a_call_369_per_s_{known}_known": 200 + us_a_known * known for known in scale_call.KNOWN}
+    found |= {f"module_us_a_call_{known}_known": 50 + us_a_known * known / 2 for known in scale_call.KNOWN}
     found |= {"added_p99_ms_369_per_s_1600_known": 0.66, "served_share_369_per_s_30_known": 1.0}
     return found | scale_call.summary(found)
 
 
 def test_a_call_that_grows_too_fast_with_the_list_fails_a_claim() -> None:
     assert calls(0.5)["fit_cpu_us_a_call_per_unit"] == pytest.approx(0.5)
+    assert calls(0.5)["fit_module_us_a_call_per_unit"] == pytest.approx(0.25)
     assert calls(0.5)["design_share_of_budget_added_p99_ms"] == pytest.approx(2.0)
     assert not failing(scale_call.claims_of(calls(0.5)))
     assert failing(scale_call.claims_of(calls(5.0)))
 
 
+def test_the_module_alone_opens_to_its_rate_and_costs_more_with_a_longer_list(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    made: list[Balancer] = []
+
+    class Kept(Balancer):
+        def __init__(self, *given: Any) -> None:
+            super().__init__(*given)
+            made.append(self)
+
+    monkeypatch.setattr(scale_call, "Balancer", Kept)
+    few, many = scale_call.module_us_a_call(30, 1), scale_call.module_us_a_call(400, 1)
+    assert many > few > 0
+    opened = [len(one.pools[0].in_use) for one in made]
+    assert opened[0] == 30 and 230 <= opened[1] <= 300  # 4 and one for each 1.5 calls a second
+    calls_made = scale_call.ALONE_PARTS * scale_call.ALONE_CALLS
+    assert all(not one.requests and one.pools[0].served == pytest.approx(1.1 * calls_made) for one in made)
+
+
 def test_a_sidecar_reads_the_configuration_that_it_is_given(tmp_path: Path) -> None:
     path = tmp_path / "sidecar.json"
     path.write_text(scale_call.settings_of(1, 400, ("127.1.2.3", 9000), ("127.1.2.4", 8500), ("127.1.2.5", 9000)))
