Test what a profile tells by one that is written, not taken

Which functions are among the eight dearest of 50 calls hangs on the moment: the test failed once in seven runs, where free_slots was not among them. The profile is now made by hand, and the order, the sums of one name and the lines of comprehensions are held to exact figures.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import cProfile
 import json
+import marshal
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -294,12 +294,15 @@
 
 
 def test_a_profile_tells_our_own_functions_by_their_time(tmp_path: Path) -> None:
-    profile = cProfile.Profile()
-    profile.runcall(play, Chain(1, 0.0, 50, 100.0, 1))
-    profile.dump_stats(tmp_path / "profile")
-    found = dict(scale_call.top_functions(tmp_path / "profile", 50))
-    assert len(found) == scale_call.PROFILED_FUNCTIONS and "balance.free_slots" in found
-    assert list(found.values()) == sorted(found.values(), reverse=True)
+    kept: dict[tuple[str, int, str], tuple[int, int, float, float, dict[str, int]]] = {
+        (f"/x/{file}", line, function): (1, 1, own_s, 9.0, {}) for file, line, function, own_s in (
+        ("glenkeel/balance.py", 1, "draw", 0.2), ("glenkeel/balance.py", 7, "<listcomp>", 0.4),
+        ("plovertrail/host.py", 1, "start", 0.1), ("plovertrail/host.py", 9, "start", 0.2),
+        ("python/asyncio/events.py", 1, "run", 5.0))}
+    (tmp_path / "profile").write_bytes(marshal.dumps(kept))
+    found = scale_call.top_functions(tmp_path / "profile", 1000)
+    assert [name for name, _ in found] == ["balance.listcomp_line_7", "host.start", "balance.draw"]
+    assert [us for _, us in found] == pytest.approx([400.0, 300.0, 200.0])
 
 
 # scale-depth
