--- a/ryepier/experiments/capacity.py
+++ b/ryepier/experiments/capacity.py
@@ -80,6 +80,7 @@
     slope: Slope | None = None  # in the figure's own unit
     extrapolated: bool = False
     power: int = 1  # of the size, as which that part grows
+    fits_to: float | None = None  # the largest share of the size measured that fits, where no line tells it
 
 
 Work = Callable[[Mapping[str, float], Plan], Value]
@@ -216,6 +217,14 @@
     return float(max(0.0, 1.0 + (budget - at_size) / grows) ** (1 / power))
 
 
+def breaking_share(values: Sequence[Value], at_size: float, budget: float) -> float | None:
+    """Over the seeds, the middle one."""
+    fits_to = [one.fits_to for one in values if one.fits_to is not None]
+    if fits_to:
+        return slopes.spread(fits_to).median
+    return share_at_budget(at_size, slopes.spread([one.grows for one in values]).median, budget, values[0].power)
+
+
 def line_of(row: Row, kept: Iterable[Kept], plan: Plan) -> Line:
     """What the results say of a row. Raises CapacityError where they lack what it rests on."""
     if not row.mechanism:
@@ -236,10 +245,9 @@
     fitted = [one.slope for one in values if one.slope is not None and row.slope_unit]
     budget = row.budget(plan) if row.budget is not None else None
     share = value.median / budget if budget is not None else None
-    grows = slopes.spread([one.grows for one in values]).median
     return Line(row, "over" if share is not None and share > 1 else "carried", value,
                 slopes.spread([one.per_unit * row.slope_times for one in fitted]) if fitted else None, fitted, share,
-                share_at_budget(value.median, grows, budget, values[0].power) if budget is not None else None,
+                breaking_share(values, value.median, budget) if budget is not None else None,
                 any(one.extrapolated for one in values), tuple(sorted(one.seed for one in results)),
                 max(one.date for one in results))
 
--- a/ryepier/experiments/capacity_rows.py
+++ b/ryepier/experiments/capacity_rows.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 from glenkeel.balance import RETRY_SHARE
-from ryepier.experiments.capacity import Plan, Row, Value, Work, as_is, level, on_line, over_the_day
+from ryepier.experiments.capacity import Plan, Row, Value, Work, as_is, family, level, on_line, over_the_day
 
 LIST, FAIL, CONTROL, CALL, DEPTH = "scale-list", "scale-fail", "scale-control", "scale-call", "scale-depth"
 SIDECAR, PLANNER, DISCOVERY = "Sidecar", "Planner, one of seven", "Discovery and its agent"
@@ -41,6 +41,13 @@
     return lambda figures, plan: Value(figures[name] * plan.calls_a_sidecar / 1e6)
 
 
+def not_served(figures: Mapping[str, float], plan: Plan) -> Value:
+    """Of calls, with all converters known; and up to how many known nearly all are served."""
+    served = family(figures, "served_share_369_per_s_{}_known")
+    fits = [known for known, share in served.items() if 1.0 - share <= ONE_IN_A_HUNDRED]
+    return Value(1.0 - served[plan.converters], fits_to=max(fits, default=0) / plan.converters)
+
+
 def a_core(plan: Plan) -> float:
     """All that a sidecar has."""
     return 1.0
@@ -111,7 +118,7 @@
             experiment=CALL, work=call_cores("module_us_a_call_{}_known"), slope_unit="us a call, a converter",
             budget=a_core),
         Row(role=SIDECAR, what="calls not served in time, all known", unit="of all", mechanism=LOOP, experiment=CALL,
-            work=lambda figures, plan: Value(1.0 - figures["served_share_369_per_s_1600_known"]),
+            work=not_served,
             budget=lambda plan: ONE_IN_A_HUNDRED),
     ]
     return of_list + of_reports + of_calls
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,7 +11,7 @@
 from click.testing import CliRunner
 
 from ryepier.cli import main
-from ryepier.experiments import capacity
+from ryepier.experiments import capacity, capacity_rows
 from ryepier.experiments.capacity import CapacityError, Kept, Plan, Row, on_line
 from ryepier.experiments.capacity_rows import ROWS
 from ryepier.experiments.catalogue import MEASURED
@@ -65,6 +65,15 @@
         capacity.line_of(a_row(), [kept({"cpu_10_known": 1.0, "other_20_known": 1.0})], PLAN)
 
 
+def test_what_no_line_tells_breaks_beyond_the_largest_size_that_fits() -> None:
+    served = {f"served_share_369_per_s_{known}_known": share
+              for known, share in ((30, 1.0), (150, 0.995), (400, 0.7), (1600, 0.02))}
+    row = msgspec.structs.replace(a_row(budget=0.01), work=capacity_rows.not_served)
+    line = capacity.line_of(row, [kept(served)], PLAN)
+    assert line.standing == "over" and line.breaks_at == pytest.approx(150 / 1600)
+    assert line.value is not None and line.value.median == pytest.approx(0.98)
+
+
 def test_a_seed_that_lacks_a_figure_is_not_named() -> None:
     line = capacity.line_of(a_row(), [kept(STEP), kept({}, 2), kept(STEP, 3)], PLAN)
     assert line.seeds == (1, 3) and line.value is not None and line.value.median == pytest.approx(161.0)
