--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -16,6 +16,11 @@
     planner_reconnect,
     planner_scale,
     planning,
+    scale_call,
+    scale_control,
+    scale_depth,
+    scale_fail,
+    scale_list,
     simulation,
     slicing,
     storms,
@@ -225,5 +230,6 @@
     *storms.EXPERIMENTS,
 )}
 MEASURED: dict[str, Measured] = {one.name: one for one in (
+    *scale_call.EXPERIMENTS, *scale_control.EXPERIMENTS, *scale_depth.EXPERIMENTS,
     *planner_scale.EXPERIMENTS, *planner_reconnect.EXPERIMENTS, *slicing.MEASURED, *graphql_front.MEASURED,
-    *simulation.EXPERIMENTS)}
+    *simulation.EXPERIMENTS, *scale_list.EXPERIMENTS, *scale_fail.EXPERIMENTS)}
