--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -69,12 +69,12 @@
         self.load = 0.0  # its answers' times of late: 1 = half the aim
         self.cold: list[Server] = []
         self.warm_size = 0.0  # of the others together
-        # answers a second that this sidecar sees for a warm upstream of size 1, and a tenth of what was admitted:
+        # answers a second that this sidecar sees for a warm one of size 1, and a tenth of those admitted:
         self.part = 0.0  # of late
         self.usual_part = 0.0  # as long as an upstream takes to warm
         self.usual_weight = 0.0  # how much of that time it has seen, as it was smoothed
         self.parted_us = now_us
-        # the upstreams whose slots are open, in the order in which they came; the others' stay closed till needed
+        # the upstreams whose slots are open, in the order of their coming; the others' are closed till needed
         self.subset: dict[Server, None] = {}
         self.rate = 0.0  # sends a second, of late
         self.surge = 0.0  # the same, of the last moments only
@@ -166,7 +166,7 @@
         self.armed_us = self.list_failures = 0  # armed: the next timer already asked for; 0 = none
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
         self.unheard_us: int | None = None  # since when a call, or a watch that broke, has brought nothing
-        self.call_spread_us = 0  # over how long the repeat was last drawn; 0 = there was none since the last list
+        self.call_spread_us = 0  # over how long the repeat was last drawn; 0 = none since the last list
         self.ask_list_at(now_us)
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
@@ -266,7 +266,7 @@
     def note_demand(self) -> None:
         for pool in self.pools:
             pool.credit = min(pool.credit + pool.admitted, 2.0)
-            self.advance_turns(pool, 0.1 * pool.admitted)  # if all are cold, nothing else would open their slots
+            self.advance_turns(pool, 0.1 * pool.admitted)  # if all are cold, nothing else opens them
 
     def value(self, request: Request) -> float:
         """The worth of a slot's time given to this request; what is beyond its tenant's share counts less.
@@ -426,11 +426,11 @@
         pool.warm_size = sum(self.size(server) for server in listed if self.warmth(server) >= 1.0)
 
     def advance_turns(self, pool: Pool, served: float) -> None:
-        """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool, so that
-        the fleet sends no more than it serves, however much is asked of it; or, where that is more, of what is
-        usual. Hazard: while many are cold the few others are crowded and draws are thinned, so by what is served
-        just then the cold ones would be held down with them, and as few would be served for the whole warm-up.
-        Over the fleet the usual parts add up to no more than a warm one has done: they are means over time."""
+        """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool, so
+        that the fleet sends no more than it serves, however much is asked of it; or, where that is more, of
+        what is usual. Hazard: while many are cold the few others are crowded and draws are thinned, so by
+        what is served just then the cold ones would be held down with them, and as few would be served for the
+        whole warm-up. Over the fleet the usual parts add up to no more than a warm one has done: they are means."""
         since_us, pool.parted_us = self.now_us - pool.parted_us, self.now_us
         if any(self.warmth(server) >= 1.0 for server in pool.cold):
             self.count_cold(pool)
@@ -516,7 +516,7 @@
         return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
 
     def bound_to(self, request: Request) -> Attempt | None:
-        """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats; None = any."""
+        """Rule 2: after a keyed attempt that may have run, only those that drop its repeats; None = any."""
         first, kind = request.first_that_may_have_run(), self.class_of(request)
         return first if kind.effect == "deduplicated" and kind.group != "all" else None
 
@@ -705,9 +705,9 @@
         self.count_planned()
 
     def start_over(self, entry: api.Upstream, pool: Pool) -> Server:
-        """Nothing is known of an upstream that is new. Hazard: one that starts again under its name mostly was
-        gone before, and by the faults of its last moments it would rest for seconds while it is well; what is
-        still out to it then is its former self's. Advice is of the machine, so it stays."""
+        """Nothing is known of an upstream that is new. Hazard: one that starts again under its name mostly
+        was gone before, and by the faults of its last moments it would rest for seconds while it is well; what
+        is still out to it then is its former self's. Advice is of the machine, so it stays."""
         former = self.servers.get(entry.id)
         server = self.servers[entry.id] = Server(entry, pool, len(self.mean_us))
         if former is not None:
@@ -731,17 +731,17 @@
         self.planned_rests = resting <= MOST_PLANNED * len(self.servers)
 
     def longest_call_gap_us(self) -> int:
-        """The longest time (us) from one call for the list, or from the last word of a watch, to the next call."""
+        """The longest time (us) from a call for the list, or the last word of a watch, to the next call."""
         settings_us = self.settings.ask_within_us // 2 or TOLD_US
         return min(TOLD_US - TURN_US, settings_us)
 
     def next_call_us(self) -> int:
-        """When to call again after a failure (us, on the module's clock). Hazard: all sidecars fail together, and
-        discovery serves few calls at once; what comes again soon waits behind the others and fails again. So full
-        jitter, over a span that grows with the fleet and doubles with each failure. It counts from when the failed
-        call began, not from its failure: a call that is given up late would else put off the next one past the
-        time at which a change counts as told (rule 3). Once spread, the calls keep their turns: drawn anew each
-        time, they would come twice as often in the mean, and most of them soon after discovery is back."""
+        """When to call again after a failure (us, on the module's clock). Hazard: all sidecars fail together,
+        and discovery serves few calls at once; what comes again soon waits behind the others and fails again.
+        So full jitter, over a span that grows with the fleet and doubles with each failure. It counts from
+        when the failed call began, not from its failure: a call that is given up late would else put off the next
+        one past the time at which a change counts as told (rule 3). Once spread, the calls keep their turns:
+        drawn anew each time, they would come twice as often in the mean, most soon after its return."""
         assert self.unheard_us is not None
         latest_us = max(self.now_us, self.unheard_us + self.longest_call_gap_us())
         if self.call_spread_us >= self.longest_call_gap_us() // 2:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import select
 import socket
 import struct
 import time
@@ -258,7 +259,8 @@
             async with sidecar(known=known, classes=KINDS) as it:
                 sock = connected(it, request("pay", "2", body=b"x" * 64_000))
                 converter = await asyncio.to_thread(lambda: listener.accept()[0])
-                await until(lambda: len(converter.recv(1, socket.MSG_PEEK)) > 0)
+                # hazard: the sidecar shares this loop, so to wait for its bytes here would keep it from writing them
+                await until(lambda: bool(select.select([converter], [], [], 0)[0]))
                 sock.close()
                 await asyncio.sleep(GONE_S)
                 converter.settimeout(1)
