--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -426,11 +426,12 @@
         pool.warm_size = sum(self.size(server) for server in listed if self.warmth(server) >= 1.0)
 
     def advance_turns(self, pool: Pool, served: float) -> None:
-        """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool, so
-        that the fleet sends no more than it serves, however much is asked of it; or, where that is more, of
-        what is usual. Hazard: while many are cold the few others are crowded and draws are thinned, so by
-        what is served just then the cold ones would be held down with them, and as few would be served for the
-        whole warm-up. Over the fleet the usual parts add up to no more than a warm one has done: they are means."""
+        """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool,
+        so that the fleet sends no more than it serves, however much is asked of it; or, where that is
+        more, of what is usual. Hazard: while many are cold the few others are crowded and draws are
+        thinned, so by what is served just then the cold ones would be held down with them, and as few
+        would be served for the whole warm-up. Over the fleet the usual parts add up to no more than a
+        warm one has done: they are means."""
         since_us, pool.parted_us = self.now_us - pool.parted_us, self.now_us
         if any(self.warmth(server) >= 1.0 for server in pool.cold):
             self.count_cold(pool)
@@ -705,9 +706,10 @@
         self.count_planned()
 
     def start_over(self, entry: api.Upstream, pool: Pool) -> Server:
-        """Nothing is known of an upstream that is new. Hazard: one that starts again under its name mostly
-        was gone before, and by the faults of its last moments it would rest for seconds while it is well; what
-        is still out to it then is its former self's. Advice is of the machine, so it stays."""
+        """Nothing is known of an upstream that is new. Hazard: one that starts again under its name
+        mostly was gone before, and by the faults of its last moments it would rest for seconds while it
+        is well; what is still out to it then is its former self's. Advice is of the machine, so it
+        stays."""
         former = self.servers.get(entry.id)
         server = self.servers[entry.id] = Server(entry, pool, len(self.mean_us))
         if former is not None:
@@ -736,12 +738,13 @@
         return min(TOLD_US - TURN_US, settings_us)
 
     def next_call_us(self) -> int:
-        """When to call again after a failure (us, on the module's clock). Hazard: all sidecars fail together,
-        and discovery serves few calls at once; what comes again soon waits behind the others and fails again.
-        So full jitter, over a span that grows with the fleet and doubles with each failure. It counts from
-        when the failed call began, not from its failure: a call that is given up late would else put off the next
-        one past the time at which a change counts as told (rule 3). Once spread, the calls keep their turns:
-        drawn anew each time, they would come twice as often in the mean, most soon after its return."""
+        """When to call again after a failure (us, on the module's clock). Hazard: all sidecars fail
+        together, and discovery serves few calls at once; what comes again soon waits behind the others
+        and fails again. So full jitter, over a span that grows with the fleet and doubles with each
+        failure. It counts from when the failed call began, not from its failure: a call that is given up
+        late would else put off the next one past the time at which a change counts as told (rule 3). Once
+        spread, the calls keep their turns: drawn anew each time, they would come twice as often in the
+        mean, most soon after its return."""
         assert self.unheard_us is not None
         latest_us = max(self.now_us, self.unheard_us + self.longest_call_gap_us())
         if self.call_spread_us >= self.longest_call_gap_us() // 2:
