Let a test ask for a request's whole id

It failed in a whole run: [True, True] for [False, True]. It looked for 'X-Request-Id: 2', and the ids that tests draw start at 1000 and reach 2000 as more tests run before it. It asks for the id with its line's end now, which is stricter.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -165,7 +165,7 @@
             await asyncio.sleep(0.05)
             held.set()
             assert status(await it.ask(request(ident="2"))) == 200
-        assert [b"X-Request-Id: 2" in head for head, _ in upstream.requests] == [False, True]
+        assert [b"X-Request-Id: 2\r\n" in head for head, _ in upstream.requests] == [False, True]
 
     run(test)
 
