--- a/ryepier/experiments/planner_scale.py
+++ b/ryepier/experiments/planner_scale.py
@@ -77,7 +77,8 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
 
-async def until_up(process: subprocess.Popen[bytes], address: tuple[str, int]) -> None:
+async def until_up(process: subprocess.Popen[bytes], address: tuple[str, int], who: str = "the planner") -> None:
+    """Until it takes connections. Raises RigError that names `who` did not come up."""
     ends = time.monotonic() + UP_WITHIN_S
     while time.monotonic() < ends and process.poll() is None:
         try:
@@ -86,7 +87,7 @@
             return
         except OSError:
             await asyncio.sleep(0.05)
-    raise RigError("the planner did not come up")
+    raise RigError(f"{who} did not come up")
 
 
 async def measure(process: subprocess.Popen[bytes], address: tuple[str, int], count: int, seed: int, for_s: float,
--- a/ryepier/experiments/scale_call.py
+++ b/ryepier/experiments/scale_call.py
@@ -35,6 +35,7 @@
 from ryepier.experiments import hollow, planted, slopes
 from ryepier.experiments.contract import Claim, Measured, Scale
 from ryepier.experiments.hollow_converters import Setup, listing
+from ryepier.experiments.planner_scale import until_up
 from ryepier.experiments.scale_control import finite, pace
 from ryepier.experiments.worlds import load
 
@@ -54,7 +55,6 @@
 PROFILED_S = {"small": 2.0, "full": 20.0}
 PROFILED_FUNCTIONS = 8
 OURS = ("glenkeel", "plovertrail")
-UP_WITHIN_S = 10.0
 ENDS_WITHIN_S = 15.0
 START_US = 1_000_000_000  # where virtual time begins: a clock that has been running
 ALONE_CALLS = 100  # in a part
@@ -194,20 +194,6 @@
 REQUEST = request_text("convert-file")
 
 
-async def until_up(process: subprocess.Popen[bytes], address: tuple[str, int]) -> None:
-    """Until it takes connections. Raises RigError."""
-    loop = asyncio.get_running_loop()
-    ends = loop.time() + UP_WITHIN_S
-    while loop.time() < ends and process.poll() is None:
-        try:
-            _, writer = await asyncio.open_connection(*address)
-            writer.close()
-            return
-        except OSError:
-            await asyncio.sleep(0.05)
-    raise RigError("a sidecar did not come up")
-
-
 @dataclass(frozen=True, slots=True)
 class Play:
     """The addresses of one run, and how its sidecars are started."""
@@ -233,7 +219,7 @@
             process = subprocess.Popen(command, env=os.environ | {"BALANCER_CONFIG": str(config)},
                                        stdout=log, stderr=log)
         try:
-            await until_up(process, listen)
+            await until_up(process, listen, "a sidecar")
             yield Sidecar(known, process, Target(listen, REQUEST))
         finally:
             if process.poll() is None:
