Move the balancer and the sidecar into the package under standard names

Need: glenkeel and plovertrail told a newcomer nothing, and stood beside the package that uses them.

Change, mechanical: glenkeel/ is ryepier/balancer/ (balance.py is balancer.py), plovertrail/ is ryepier/sidecar/. The profile of scale-call tells our functions by folder, as one name for a part no longer does.

--- a/glenkeel/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""glenkeel: the decisions of a sidecar balancer for service-to-service calls."""
--- a/plovertrail/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""plovertrail: a sidecar balancer on real sockets; its decisions are made in glenkeel."""
--- a/ryepier/__init__.py
+++ b/ryepier/__init__.py
@@ -1,1 +1,1 @@
-"""ryepier: what grows around the sidecar: its configuration, its commands, and the world to try it in."""
+"""A sidecar balancer for service-to-service calls, its control plane, its commands and its test rigs."""
--- a/ryepier/assembly/parts.py
+++ b/ryepier/assembly/parts.py
@@ -12,15 +12,15 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from plovertrail import config as platform
-from plovertrail import system
-from plovertrail.config import parse_address
-from plovertrail.host import Host, clock_us
-from plovertrail.parts import PLATFORM, Companion, Parts, Source
 from ryepier.conf import operators as conf
 from ryepier.conf.operators import Operators
 from ryepier.plan import follow, forwarder
 from ryepier.plan.machine import Machine
+from ryepier.sidecar import config as platform
+from ryepier.sidecar import system
+from ryepier.sidecar.config import parse_address
+from ryepier.sidecar.host import Host, clock_us
+from ryepier.sidecar.parts import PLATFORM, Companion, Parts, Source
 
 if TYPE_CHECKING:
     from ryepier.plan.planner import Server
--- a/glenkeel/adapter.py
+++ b/ryepier/balancer/adapter.py
@@ -5,9 +5,9 @@
 import sys
 from typing import BinaryIO
 
-from glenkeel import wire
-from glenkeel.balance import Balancer
-from glenkeel.interface import RequestArrived
+from ryepier.balancer import wire
+from ryepier.balancer.balancer import Balancer
+from ryepier.balancer.interface import RequestArrived
 
 
 def read_exactly(source: BinaryIO, size: int) -> bytes:
@@ -77,10 +77,10 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"glenkeel: {error}", file=sys.stderr)
+        print(f"ryepier.balancer: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
-        print("glenkeel: the reader of our replies is gone", file=sys.stderr)
+        print("ryepier.balancer: the reader of our replies is gone", file=sys.stderr)
         return 3
     return 0
 
--- a/glenkeel/balance.py
+++ b/ryepier/balancer/balancer.py
@@ -1,4 +1,4 @@
-"""All decisions of the balancer. Its interface, types, events and actions: glenkeel/interface.py.
+"""All decisions of the balancer. Its interface, types, events and actions: ryepier/balancer/interface.py.
 
 Everything is slots (docs/design.md): a request takes a free slot of a random upstream, waits in the ONE
 buffer when none is free, is refused when that is taken, and is reissued through a slot.
@@ -8,7 +8,7 @@
 import math
 import random
 
-from glenkeel import interface as api
+from ryepier.balancer import interface as api
 
 MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
--- a/glenkeel/wire.py
+++ b/ryepier/balancer/wire.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from glenkeel import interface as api
+from ryepier.balancer import interface as api
 
 HEADER = struct.Struct("<IIQ")
 REPLY_HEADER = struct.Struct("<II")
--- a/ryepier/check/canonical.py
+++ b/ryepier/check/canonical.py
@@ -13,9 +13,9 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from glenkeel import balance
-from plovertrail import host
+from ryepier.balancer import balancer
 from ryepier.check.model import Model, World
+from ryepier.sidecar import host
 
 Rename = dict[int, int]
 OLDEST_US = 300_000  # longer ago than any deadline or memory of a key: it makes no difference any more
@@ -43,20 +43,20 @@
         """How long until then; what has passed has passed."""
         return max(-1, at_us - self.now_us)
 
-    def half_aim_us(self, one: balance.Request) -> int:
+    def half_aim_us(self, one: balancer.Request) -> int:
         return self.world.host.balancer.half_aim_us(one.event.class_index)
 
-    def attempt(self, one: balance.Attempt) -> tuple[Any, ...]:
+    def attempt(self, one: balancer.Attempt) -> tuple[Any, ...]:
         ended = one.ended.value if one.ended is not None else ""
         return (self.rename[one.entry.id], max(-OLDEST_US, one.sent_us - self.now_us),
-                min(one.overtaken, balance.OVERTAKEN), one.passed, one.silent, one.lost, ended)
+                min(one.overtaken, balancer.OVERTAKEN), one.passed, one.silent, one.lost, ended)
 
-    def server(self, one: balance.Server) -> tuple[Any, ...]:
+    def server(self, one: balancer.Server) -> tuple[Any, ...]:
         return (self.rename[one.entry.id], one.entry.state.value, one.used, int(one.window), one.window < 1.0,
                 self.left(one.rest_until_us), tuple(one.mute), tuple(map(self.left, one.mute_until_us)), one.room,
                 one.slow_start, one in one.pool.subset, len(one.out))
 
-    def asked(self, one: balance.Request) -> tuple[Any, ...]:
+    def asked(self, one: balancer.Request) -> tuple[Any, ...]:
         return (one.event.request, self.left(one.event.due_us), self.left(one.arrived_us + self.half_aim_us(one)),
                 tuple(map(self.attempt, one.attempts)), one.done)
 
--- a/ryepier/check/model.py
+++ b/ryepier/check/model.py
@@ -14,9 +14,9 @@
 from functools import partial
 from typing import Any, TypeVar
 
-from glenkeel import interface as api
-from plovertrail import system
-from plovertrail.host import Answer, Call, Host, Result, Verdict
+from ryepier.balancer import interface as api
+from ryepier.sidecar import system
+from ryepier.sidecar.host import Answer, Call, Host, Result, Verdict
 
 T = TypeVar("T")
 
--- a/ryepier/check/plants.py
+++ b/ryepier/check/plants.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from glenkeel import interface as api
-from glenkeel.balance import Balancer, Request
-from plovertrail.host import Answer, Host, Result, Verdict
+from ryepier.balancer import interface as api
+from ryepier.balancer.balancer import Balancer, Request
+from ryepier.sidecar.host import Answer, Host, Result, Verdict
 
 HELD_BEFORE_US = 30_000  # a held refusal goes out so long before the client's time is out
 
--- a/ryepier/check/reached.py
+++ b/ryepier/check/reached.py
@@ -10,10 +10,10 @@
 from types import CodeType, FrameType, ModuleType
 from typing import Any
 
-from glenkeel import balance
-from plovertrail import host
+from ryepier.balancer import balancer
+from ryepier.sidecar import host
 
-WATCHED: tuple[ModuleType, ...] = (balance, host)
+WATCHED: tuple[ModuleType, ...] = (balancer, host)
 Lines = dict[str, set[int]]
 
 
--- a/ryepier/check/trace.py
+++ b/ryepier/check/trace.py
@@ -10,7 +10,7 @@
 
 from ryepier.check.model import Model, Step, World
 
-WATCHED = ("balance.py", "host.py")
+WATCHED = ("balancer.py", "host.py")
 COLUMN = 22
 
 
--- a/ryepier/commands/load.py
+++ b/ryepier/commands/load.py
@@ -11,13 +11,13 @@
 import click
 import msgspec
 
-from plovertrail.config import parse_address
 from ryepier.commands.config import read_world_file
 from ryepier.commands.demo import live_summary
 from ryepier.emulator import rig
 from ryepier.emulator.world import World
 from ryepier.experiments import figures
 from ryepier.experiments.worlds import load as load_world
+from ryepier.sidecar.config import parse_address
 
 
 def checked_address(context: click.Context, parameter: click.Parameter, text: str) -> tuple[str, int]:
--- a/ryepier/commands/plan.py
+++ b/ryepier/commands/plan.py
@@ -11,8 +11,8 @@
 import click
 import msgspec
 
-from plovertrail.config import parse_address
 from ryepier.plan.messages import VERSION, Entry, Frames, Hello, Plan, ProtocolError, encode
+from ryepier.sidecar.config import parse_address
 
 WITHIN_S = 3.0
 READER = "a reader"  # reports nothing, and so counts for nothing as a forwarder
--- a/ryepier/commands/run.py
+++ b/ryepier/commands/run.py
@@ -9,12 +9,12 @@
 
 import click
 
-from plovertrail import config as platform
-from plovertrail.__main__ import UNREADABLE
-from plovertrail.__main__ import run as run_sidecar
 from ryepier.assembly.parts import AssemblyError, check, parts_for
 from ryepier.commands.config import read_operators_file
 from ryepier.logs import structured
+from ryepier.sidecar import config as platform
+from ryepier.sidecar.__main__ import UNREADABLE
+from ryepier.sidecar.__main__ import run as run_sidecar
 
 
 @click.command()
--- a/ryepier/commands/slices.py
+++ b/ryepier/commands/slices.py
@@ -13,11 +13,11 @@
 
 import click
 
-from glenkeel.interface import UpstreamsUpdated
-from plovertrail.host import clock_us
 from ryepier.assembly.parts import namespace_of
+from ryepier.balancer.interface import UpstreamsUpdated
 from ryepier.commands.config import read_operators_file
 from ryepier.logs import structured
+from ryepier.sidecar.host import clock_us
 from ryepier.slices.client import AccessError, find_access, make_client
 from ryepier.slices.listing import Rules
 from ryepier.slices.merge import RANKS, Merger, Verdict, Word
--- a/ryepier/emulator/apiserver.py
+++ b/ryepier/emulator/apiserver.py
@@ -15,7 +15,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from plovertrail import system
+from ryepier.sidecar import system
 
 GROUP = "/apis/discovery.k8s.io/v1"
 LONGEST_HEAD = 16 * 1024
--- a/ryepier/emulator/converters.py
+++ b/ryepier/emulator/converters.py
@@ -10,11 +10,11 @@
 
 import httptools
 
-from plovertrail import system
 from ryepier.emulator import draws, graphql, machine
 from ryepier.emulator.process import Clock, LatenessMeter, Plan
 from ryepier.emulator.records import NEVER, Attempt, AttemptEnding, Happening, RoleRecords
 from ryepier.emulator.timeline import Instance, Step, Timeline, Verb, Who
+from ryepier.sidecar import system
 
 log = logging.getLogger(__name__)
 
--- a/ryepier/emulator/discovery.py
+++ b/ryepier/emulator/discovery.py
@@ -7,11 +7,11 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from plovertrail import system
 from ryepier.emulator.process import Clock, LatenessMeter, Plan
 from ryepier.emulator.records import Happening, RoleRecords, Told
 from ryepier.emulator.slices import SlicesAgent
 from ryepier.emulator.timeline import Instance, Step, Timeline, Verb, Who
+from ryepier.sidecar import system
 
 RANK = {"active": 0, "leaving": 1, "left": 2}  # a converter's states, none of which comes back
 LONGEST_HEAD = 8192
--- a/ryepier/emulator/process.py
+++ b/ryepier/emulator/process.py
@@ -9,9 +9,9 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from plovertrail import system
 from ryepier.emulator.records import Lateness, RoleRecords
 from ryepier.emulator.world import World
+from ryepier.sidecar import system
 
 LONGEST_LATE_US = 60_000_000
 TICK_S = 0.02
--- a/ryepier/emulator/rig.py
+++ b/ryepier/emulator/rig.py
@@ -23,7 +23,7 @@
 from ryepier.emulator.timeline import Step, Timeline, Verb, Who
 from ryepier.emulator.world import SIMULATED_FAULTS, World
 
-SIDECAR = (sys.executable, "-B", "-m", "plovertrail")
+SIDECAR = (sys.executable, "-B", "-m", "ryepier.sidecar")
 FORWARDER = (sys.executable, "-B", "-m", "ryepier", "run")
 PLANNER = (sys.executable, "-B", "-m", "ryepier", "planner")
 OPERATORS = "operators.toml"  # the sidecars' common operators' file, where the world has planners or slices
--- a/ryepier/emulator/simulated.py
+++ b/ryepier/emulator/simulated.py
@@ -13,10 +13,6 @@
 from pathlib import Path
 from typing import Any, TextIO
 
-from plovertrail import config as platform
-from plovertrail import system
-from plovertrail.__main__ import serve
-from plovertrail.parts import PLATFORM, Parts
 from ryepier.assembly import parts as assembly
 from ryepier.conf import operators
 from ryepier.emulator import clients, converters, discovery, files, timeline
@@ -27,6 +23,10 @@
 from ryepier.emulator.timeline import Step, Verb, Who
 from ryepier.emulator.world import World
 from ryepier.logs.structured import JsonLines
+from ryepier.sidecar import config as platform
+from ryepier.sidecar import system
+from ryepier.sidecar.__main__ import serve
+from ryepier.sidecar.parts import PLATFORM, Parts
 from ryepier.sim.process import OWNER, Clocks
 from ryepier.sim.run import SimLoop, simulate
 
--- a/ryepier/experiments/capacity_rows.py
+++ b/ryepier/experiments/capacity_rows.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from glenkeel.balance import RETRY_SHARE
+from ryepier.balancer.balancer import RETRY_SHARE
 from ryepier.experiments.capacity import Plan, Row, Value, Work, as_is, family, level, on_line, over_the_day
 
 LIST, FAIL, CONTROL, CALL, DEPTH = "scale-list", "scale-fail", "scale-control", "scale-call", "scale-depth"
--- a/ryepier/experiments/chains.py
+++ b/ryepier/experiments/chains.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
-from glenkeel import interface as api
-from plovertrail import system
-from plovertrail.host import Answer, Call, Host, Result, Verdict
+from ryepier.balancer import interface as api
+from ryepier.sidecar import system
+from ryepier.sidecar.host import Answer, Call, Host, Result, Verdict
 
 NEAR_US = 200  # one way over the network
 WORK_US = 2_000  # of the last service, for an answer or an error
--- a/ryepier/experiments/churn_follower.py
+++ b/ryepier/experiments/churn_follower.py
@@ -12,10 +12,10 @@
 import time
 from pathlib import Path
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import RequestClass, Settings, UpstreamsUpdated
-from plovertrail.host import clock_us
+from ryepier.balancer.balancer import Balancer
+from ryepier.balancer.interface import RequestClass, Settings, UpstreamsUpdated
 from ryepier.experiments import planted
+from ryepier.sidecar.host import clock_us
 from ryepier.slices.client import Access
 from ryepier.slices.listing import Rules
 from ryepier.slices.source import Settings as SourceSettings
--- a/ryepier/experiments/hollow_converters.py
+++ b/ryepier/experiments/hollow_converters.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from plovertrail import system
+from ryepier.sidecar import system
 
 HEARTBEAT_S = 2.0
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\ndone"
--- a/ryepier/experiments/hollow_forwarders.py
+++ b/ryepier/experiments/hollow_forwarders.py
@@ -17,14 +17,14 @@
 
 import msgspec
 
-from glenkeel.interface import Outcome, PlanUpdated
-from plovertrail.host import clock_us
 from ryepier.assembly.parts import machine
+from ryepier.balancer.interface import Outcome, PlanUpdated
 from ryepier.emulator import draws
 from ryepier.experiments import hollow
 from ryepier.plan import forwarder
 from ryepier.plan.follow import Rules
 from ryepier.plan.messages import Evidence, Message, Plan, bucket_of, encode
+from ryepier.sidecar.host import clock_us
 
 CALLS_PER_S = 369.0  # of one sidecar, at the size to design for
 ANSWER_US = 20_000
--- a/ryepier/experiments/hollow_sidecar.py
+++ b/ryepier/experiments/hollow_sidecar.py
@@ -18,13 +18,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from glenkeel.interface import RequestClass, Settings, UpstreamsUpdated
-from plovertrail.config import Config
-from plovertrail.host import Host, clock_us
-from plovertrail.logs import RateLimit
-from plovertrail.parts import discovery_source
-from plovertrail.upstreams import Pool
+from ryepier.balancer.interface import RequestClass, Settings, UpstreamsUpdated
 from ryepier.experiments.usage import own_usage
+from ryepier.sidecar.config import Config
+from ryepier.sidecar.host import Host, clock_us
+from ryepier.sidecar.logs import RateLimit
+from ryepier.sidecar.parts import discovery_source
+from ryepier.sidecar.upstreams import Pool
 
 DIALS_GAP_S = 0.002  # between two starts: discovery's listener is not what is measured there
 LOOK_EVERY_S = 0.01
--- a/ryepier/experiments/list_parts.py
+++ b/ryepier/experiments/list_parts.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import Settings
-from plovertrail.discovery import Directory, Objects
-from plovertrail.host import clock_us
+from ryepier.balancer.balancer import Balancer
+from ryepier.balancer.interface import Settings
 from ryepier.experiments.fleet_list import Entry, Listing
 from ryepier.experiments.hollow_sidecar import CLASSES, KINDS, ZONES
+from ryepier.sidecar.discovery import Directory, Objects
+from ryepier.sidecar.host import clock_us
 
 PIECE = 65_536  # bytes that come at a time
 MOST_CHANGES = 100
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -1,6 +1,6 @@
 """Sidecars and planners with one named mistake put in on purpose, to show that a claim can fail.
 
-`python -m ryepier.experiments.planted FAULT` is a sidecar like `python -m plovertrail`, but for that mistake; with
+`python -m ryepier.experiments.planted FAULT` is a sidecar like `python -m ryepier.sidecar`, but for that mistake; with
 `--config FILE` it is one like `ryepier run`, and where the mistake is a planner's, one like `ryepier planner`.
 """
 
@@ -16,12 +16,8 @@
 
 import msgspec
 
-from glenkeel import interface as api
-from glenkeel.balance import MOST_RETRIES, Balancer, Request, Server
-from plovertrail import __main__ as sidecar
-from plovertrail import discovery
-from plovertrail.host import Answer, Call, Host, Result, clock_us
-from plovertrail.upstreams import Attempt, Connection, Pool
+from ryepier.balancer import interface as api
+from ryepier.balancer.balancer import MOST_RETRIES, Balancer, Request, Server
 from ryepier.check.plants import held_answer
 from ryepier.plan import compute, snapshot
 from ryepier.plan.compute import Planner
@@ -31,6 +27,10 @@
 from ryepier.plan.merge import Evidence
 from ryepier.plan.messages import Report, Term
 from ryepier.plan.report import Reporter
+from ryepier.sidecar import __main__ as sidecar
+from ryepier.sidecar import discovery
+from ryepier.sidecar.host import Answer, Call, Host, Result, clock_us
+from ryepier.sidecar.upstreams import Attempt, Connection, Pool
 from ryepier.slices import merge
 from ryepier.slices.listing import _Known
 from ryepier.slices.merge import Merger, Word
@@ -296,7 +296,7 @@
 
 def answer_twice() -> None:
     """One answer in many is written twice."""
-    from plovertrail.server import Client
+    from ryepier.sidecar.server import Client
 
     write, count = Client.write, 0
 
--- a/ryepier/experiments/scale_call.py
+++ b/ryepier/experiments/scale_call.py
@@ -26,8 +26,8 @@
 import msgspec
 import numpy as np
 
-from glenkeel import interface as api
-from glenkeel.balance import Balancer
+from ryepier.balancer import interface as api
+from ryepier.balancer.balancer import Balancer
 from ryepier.emulator import draws, files
 from ryepier.emulator.process import CONVERTER_PORT, DISCOVERY_PORT, SIDECAR_PORT, monotonic_us
 from ryepier.emulator.rig import SIDECAR, RigError, find_network
@@ -54,7 +54,7 @@
 PROFILED = (30, 1600)
 PROFILED_S = {"small": 2.0, "full": 20.0}
 PROFILED_FUNCTIONS = 8
-OURS = ("glenkeel", "plovertrail")
+OURS = ("ryepier/balancer", "ryepier/sidecar")
 ENDS_WITHIN_S = 15.0
 START_US = 1_000_000_000  # where virtual time begins: a clock that has been running
 ALONE_CALLS = 100  # in a part
@@ -274,8 +274,7 @@
     stats = pstats.Stats(str(path))
     rows = []
     for (file, number, function), (_, _, own_s, _, _) in stats.stats.items():  # type: ignore[attr-defined]
-        parts = Path(file).parts
-        if any(part in OURS for part in parts):
+        if Path(file).parent.as_posix().endswith(OURS):
             at_line = f"_line_{number}" if function.startswith("<") else ""  # a comprehension has no name of its own
             rows.append((f"{Path(file).stem}.{function.strip('<>')}{at_line}", own_s))
     merged: dict[str, float] = {}
--- a/ryepier/experiments/scale_depth.py
+++ b/ryepier/experiments/scale_depth.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from glenkeel.balance import MOST_RETRIES, RETRY_SHARE
+from ryepier.balancer.balancer import MOST_RETRIES, RETRY_SHARE
 from ryepier.experiments import planted, slopes
 from ryepier.experiments.chains import Chain, Seen, play
 from ryepier.experiments.contract import Claim, Measured, Scale
--- a/ryepier/experiments/scale_list.py
+++ b/ryepier/experiments/scale_list.py
@@ -18,13 +18,13 @@
 
 import numpy as np
 
-from plovertrail.discovery import WATCH_AGAIN_S
 from ryepier.emulator.process import monotonic_us
 from ryepier.emulator.rig import RigError, find_network
 from ryepier.experiments import hollow, list_parts, slopes, usage
 from ryepier.experiments.contract import Claim, Measured, Scale
 from ryepier.experiments.fleet_list import Desk, Listing
 from ryepier.experiments.hollow import Child, Needs
+from ryepier.sidecar.discovery import WATCH_AGAIN_S
 
 KNOWN = (30, 150, 400, 800, 1600)  # converters that a sidecar knows
 SIDECARS = {"small": 12, "full": 40}  # hollow ones for each of these sizes
@@ -84,7 +84,7 @@
 
 def base_bytes() -> float:
     """Resident memory of a sidecar's program before it has any list."""
-    code = "import plovertrail.__main__; print(open('/proc/self/status').read())"
+    code = "import ryepier.sidecar.__main__; print(open('/proc/self/status').read())"
     said = subprocess.run([sys.executable, "-B", "-c", code], capture_output=True, text=True, check=True, timeout=20)
     return float(usage.resident_bytes(said.stdout))
 
--- a/ryepier/fronts/graphql.py
+++ b/ryepier/fronts/graphql.py
@@ -5,11 +5,16 @@
 import os
 from collections.abc import Callable, Sequence
 
-from glenkeel.interface import Settings
-from plovertrail.config import Config, parse_address
-from plovertrail.host import Answer, Call, Host, Verdict, clock_us
-from plovertrail.parts import Front
-from plovertrail.server import (
+from ryepier.balancer.interface import Settings
+from ryepier.conf import operators as conf
+from ryepier.graphql import answers
+from ryepier.graphql.classify import ClassRule, FieldRule, Table
+from ryepier.graphql.errors import GraphqlError
+from ryepier.graphql.request import JSON_TYPE, RESPONSE_TYPE, Asked, Reader, response_type
+from ryepier.sidecar.config import Config, parse_address
+from ryepier.sidecar.host import Answer, Call, Host, Verdict, clock_us
+from ryepier.sidecar.parts import Front
+from ryepier.sidecar.server import (
     IDENT,
     Catalogue,
     Dialect,
@@ -22,11 +27,6 @@
     stable_hash,
     whole_number,
 )
-from ryepier.conf import operators as conf
-from ryepier.graphql import answers
-from ryepier.graphql.classify import ClassRule, FieldRule, Table
-from ryepier.graphql.errors import GraphqlError
-from ryepier.graphql.request import JSON_TYPE, RESPONSE_TYPE, Asked, Reader, response_type
 
 SINGLE_HEADERS = frozenset((
     b"host", b"content-length", b"content-type", b"accept", b"x-request-id", b"x-tenant", b"x-key", b"x-deadline-ms",
--- a/ryepier/logs/structured.py
+++ b/ryepier/logs/structured.py
@@ -8,8 +8,8 @@
 import sys
 from datetime import UTC, datetime
 
-from plovertrail.logs import RateLimit
 from ryepier.conf.operators import Logging
+from ryepier.sidecar.logs import RateLimit
 
 # what every record has; the rest was put in by the caller with `extra` and belongs in the line
 _OWN_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName"}
--- a/ryepier/plan/follow.py
+++ b/ryepier/plan/follow.py
@@ -9,7 +9,7 @@
 import zlib
 from dataclasses import dataclass
 
-from glenkeel.interface import Advice
+from ryepier.balancer.interface import Advice
 from ryepier.plan.messages import Plan, Term
 
 LEAST_WEIGHT = 1 / 64  # no converter that does not rest is kept from all traffic by its weight
--- a/ryepier/plan/forwarder.py
+++ b/ryepier/plan/forwarder.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from glenkeel.interface import Outcome, PlanUpdated
+from ryepier.balancer.interface import Outcome, PlanUpdated
 from ryepier.plan.follow import Follower, Rules
 from ryepier.plan.machine import Machine
 from ryepier.plan.messages import (
--- a/ryepier/plan/report.py
+++ b/ryepier/plan/report.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from glenkeel.interface import Outcome
+from ryepier.balancer.interface import Outcome
 from ryepier.plan.messages import TIME_BUCKETS, Report, Seen, Term, bucket_of
 
 BAD = frozenset((Outcome.ERROR, Outcome.RESET, Outcome.SPOILT, Outcome.TIMEOUT, Outcome.CONNECT_FAILED))
--- a/plovertrail/__main__.py
+++ b/ryepier/sidecar/__main__.py
@@ -1,4 +1,4 @@
-"""One real sidecar: `python -m plovertrail`, told by its environment what it is."""
+"""One real sidecar: `python -m ryepier.sidecar`, told by its environment what it is."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 import sys
 from collections.abc import Sequence
 
-from glenkeel.wire import WireError
-from plovertrail import config
-from plovertrail.host import Host, clock_us
-from plovertrail.logs import RateLimit
-from plovertrail.parts import PLATFORM, Front, Parts, Source
-from plovertrail.server import LONGEST_LINGER_S
-from plovertrail.upstreams import Pool
+from ryepier.balancer.wire import WireError
+from ryepier.sidecar import config
+from ryepier.sidecar.host import Host, clock_us
+from ryepier.sidecar.logs import RateLimit
+from ryepier.sidecar.parts import PLATFORM, Front, Parts, Source
+from ryepier.sidecar.server import LONGEST_LINGER_S
+from ryepier.sidecar.upstreams import Pool
 
 log = logging.getLogger(__name__)
 
@@ -106,7 +106,7 @@
     try:
         settings = config.load(os.environ["BALANCER_CONFIG"])
     except UNREADABLE as error:
-        print(f"plovertrail: configuration: {error!r}", file=sys.stderr)
+        print(f"ryepier.sidecar: configuration: {error!r}", file=sys.stderr)
         return 2
     asyncio.run(run(settings))
     return 0
--- a/plovertrail/config.py
+++ b/ryepier/sidecar/config.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from glenkeel import wire
-from glenkeel.interface import Settings
+from ryepier.balancer import wire
+from ryepier.balancer.interface import Settings
 
 T = TypeVar("T")
 
--- a/plovertrail/discovery.py
+++ b/ryepier/sidecar/discovery.py
@@ -13,10 +13,10 @@
 
 import httptools
 
-from glenkeel.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
-from plovertrail import system
-from plovertrail.config import Config, parse_address
-from plovertrail.host import clock_us
+from ryepier.balancer.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
+from ryepier.sidecar import system
+from ryepier.sidecar.config import Config, parse_address
+from ryepier.sidecar.host import clock_us
 
 log = logging.getLogger(__name__)
 
--- a/plovertrail/host.py
+++ b/ryepier/sidecar/host.py
@@ -14,9 +14,9 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from glenkeel import interface as api
-from glenkeel.balance import Balancer
-from plovertrail import system
+from ryepier.balancer import interface as api
+from ryepier.balancer.balancer import Balancer
+from ryepier.sidecar import system
 
 log = logging.getLogger(__name__)
 
--- a/plovertrail/parts.py
+++ b/ryepier/sidecar/parts.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from plovertrail.config import Config
-from plovertrail.discovery import Directory, Discovery
-from plovertrail.host import Host
-from plovertrail.server import Server
+from ryepier.sidecar.config import Config
+from ryepier.sidecar.discovery import Directory, Discovery
+from ryepier.sidecar.host import Host
+from ryepier.sidecar.server import Server
 
 
 class Source(Protocol):
--- a/plovertrail/server.py
+++ b/ryepier/sidecar/server.py
@@ -15,9 +15,9 @@
 
 import httptools
 
-from glenkeel.interface import Settings
-from plovertrail import system
-from plovertrail.host import Answer, Call, Host, Verdict, clock_us
+from ryepier.balancer.interface import Settings
+from ryepier.sidecar import system
+from ryepier.sidecar.host import Answer, Call, Host, Verdict, clock_us
 
 log = logging.getLogger(__name__)
 
--- a/plovertrail/upstreams.py
+++ b/ryepier/sidecar/upstreams.py
@@ -9,9 +9,9 @@
 
 import httptools
 
-from glenkeel.interface import Outcome
-from plovertrail import system
-from plovertrail.host import Call, Result, clock_us, stays
+from ryepier.balancer.interface import Outcome
+from ryepier.sidecar import system
+from ryepier.sidecar.host import Call, Result, clock_us, stays
 
 log = logging.getLogger(__name__)
 
--- a/ryepier/sim/run.py
+++ b/ryepier/sim/run.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar, cast
 
-from plovertrail import system
+from ryepier.sidecar import system
 from ryepier.sim.loop import Stuck, VirtualLoop
 from ryepier.sim.network import Address, Factory, Network, SimServer, SimSocket, SimTransport
 from ryepier.sim.process import OWNER, Clocks, Frozen
--- a/ryepier/slices/listing.py
+++ b/ryepier/slices/listing.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from glenkeel.interface import Upstream, UpstreamState
+from ryepier.balancer.interface import Upstream, UpstreamState
 from ryepier.slices.merge import Verdict, is_address
 
 READY, DRAINING, GONE = UpstreamState.READY, UpstreamState.DRAINING, UpstreamState.GONE
--- a/ryepier/slices/merge.py
+++ b/ryepier/slices/merge.py
@@ -16,7 +16,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, replace
 
-from glenkeel.interface import UpstreamState
+from ryepier.balancer.interface import UpstreamState
 from ryepier.slices.objects import Endpoint, Slice
 
 MOST_ENDED = 50_000  # identities remembered as terminating once no slice holds them: a day of releases
--- a/ryepier/slices/source.py
+++ b/ryepier/slices/source.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from glenkeel.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
+from ryepier.balancer.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
 from ryepier.slices.client import Access, make_client
 from ryepier.slices.listing import Entries, Listing, Rules
 from ryepier.slices.merge import Merger, Verdict
@@ -59,7 +59,7 @@
 
 
 class SliceSource:
-    """Follows one service's slices and tells the host; see `plovertrail.parts.Source`."""
+    """Follows one service's slices and tells the host; see `ryepier.sidecar.parts.Source`."""
 
     def __init__(self, settings: Settings, listener: Listener, clock_us: Callable[[], int]) -> None:
         self.settings = settings
--- a/ryepier/storm/detect.py
+++ b/ryepier/storm/detect.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass, field
 
-from glenkeel.interface import StormUpdated
+from ryepier.balancer.interface import StormUpdated
 
 TRIES = 5  # first tries, and later ones by their number; the last stands for all beyond
 FAST_US = 1_000_000  # memory of what goes on now
--- a/ryepier/storm/guard.py
+++ b/ryepier/storm/guard.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from glenkeel.interface import Outcome, StormUpdated
+from ryepier.balancer.interface import Outcome, StormUpdated
 from ryepier.storm.detect import Detector
 from ryepier.storm.sketch import Unserved, fingerprint
 
@@ -44,7 +44,7 @@
 
 
 class Guard:
-    """Recognises tries and observes ends for a host; see `plovertrail.host`."""
+    """Recognises tries and observes ends for a host; see `ryepier.sidecar.host`."""
 
     def __init__(self, detector: Detector, told: Callable[[StormUpdated], None],
                  clock_us: Callable[[], int]) -> None:
--- a/tests/net.py
+++ b/tests/net.py
@@ -14,9 +14,9 @@
 
 import pytest
 
-from glenkeel.interface import RequestClass, Settings
-from plovertrail.__main__ import serve
-from plovertrail.config import Config
+from ryepier.balancer.interface import RequestClass, Settings
+from ryepier.sidecar.__main__ import serve
+from ryepier.sidecar.config import Config
 
 PATIENCE_S = 20.0  # no test waits for a time-out on purpose; this only ends one that hangs
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
--- a/tests/test_calm.py
+++ b/tests/test_calm.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import (
+from ryepier.balancer.balancer import Balancer
+from ryepier.balancer.interface import (
     AttemptEnded,
     Fail,
     Outcome,
@@ -19,7 +19,7 @@
     TimerFired,
     UpstreamsUpdated,
 )
-from glenkeel.interface import ListKind as Kind
+from ryepier.balancer.interface import ListKind as Kind
 from tests.world import START_US, World, settings, upstreams
 
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -73,7 +73,7 @@
 def test_a_trace_says_which_lines_sent_what_and_a_bad_file_is_refused(tmp_path: Path) -> None:
     lines = trace.chart(Model("m", 1, ("ask",), outcomes=("reset", "ok")), [
         ARRIVE, Step("answer", 0, "reset")])
-    assert any("send by balance.py:" in line and "place" in line for line in lines)
+    assert any("send by balancer.py:" in line and "place" in line for line in lines)
     path = tmp_path / "path.json"
     path.write_text(json.dumps({"model": {"name": "m", "converters": 1, "requests": ["ask"]},
                                 "path": [["answer", 7, "ok", []]]}))
@@ -85,6 +85,6 @@
     with reached.recorded() as seen:
         walk(Model("m", 1, ("ask",)), [ARRIVE, Step("answer", 0, "ok")])
     missing = dict(reached.unreached(seen))
-    assert "plovertrail.host: Host._overdue" in missing
-    assert "plovertrail.host: Host.arrived" in missing  # only the lines of observers and recognisers
-    assert len(missing["plovertrail.host: Host.arrived"]) < 3
+    assert "ryepier.sidecar.host: Host._overdue" in missing
+    assert "ryepier.sidecar.host: Host.arrived" in missing  # only the lines of observers and recognisers
+    assert len(missing["ryepier.sidecar.host: Host.arrived"]) < 3
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -15,8 +15,8 @@
 
 import pytest
 
-from glenkeel.balance import Balancer, Pool
-from glenkeel.interface import (
+from ryepier.balancer.balancer import Balancer, Pool
+from ryepier.balancer.interface import (
     Advice,
     AttemptEnded,
     Event,
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -43,7 +43,7 @@
 def test_the_deployed_command_ends_on_a_bad_frame_with_one_line(sim: str) -> None:
     done = start(sim, bytes.fromhex(EMPTY) + b"\x01\x00")
     assert done.returncode != 0 and done.stdout == bytes(8)
-    assert done.stderr.decode().splitlines() == ["glenkeel: batch 1: truncated header: 2 of 16 bytes"]
+    assert done.stderr.decode().splitlines() == ["ryepier.balancer: batch 1: truncated header: 2 of 16 bytes"]
 
 
 def test_the_decision_module_keeps_its_limits() -> None:
@@ -52,7 +52,7 @@
         lines += (ROOT / name).read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 1200
     assert max(map(len, lines)) <= 110
-    assert "glenkeel/interface.py" in lines[0]
+    assert "ryepier/balancer/interface.py" in lines[0]
 
 
 def test_figures_stand_in_named_constants_or_are_plain_fractions() -> None:
@@ -71,10 +71,19 @@
 
 
 def test_the_package_needs_the_standard_library_only() -> None:
-    code = "import sys, glenkeel.adapter; print(*sorted({m.split('.')[0] for m in sys.modules}))"
+    code = "import sys, ryepier.balancer.adapter; print(*sorted({m.split('.')[0] for m in sys.modules}))"
     found = subprocess.run([sys.executable, "-S", "-c", code], cwd=ROOT, capture_output=True, text=True,
                            check=True, timeout=60).stdout.split()
-    assert set(found) - set(sys.stdlib_module_names) <= {"glenkeel", "__main__", "sitecustomize"}
+    assert set(found) - set(sys.stdlib_module_names) <= {"ryepier", "__main__", "sitecustomize"}
+
+
+def test_the_deploy_file_names_every_package_that_the_sidecar_imports() -> None:
+    code = "import sys, ryepier.sidecar.__main__; print(*(getattr(m, '__file__', None) for m in sys.modules.values()))"
+    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True,
+                           check=True, timeout=60).stdout.split()
+    ours = {Path(name).relative_to(ROOT) for name in found if Path(name).is_relative_to(ROOT / "ryepier")}
+    named = [Path(name) for name in DEPLOY["node"]]
+    assert ours and not [path for path in ours if not any(path.is_relative_to(name) for name in named)]
 
 
 def test_the_readme_example_runs_as_written() -> None:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -15,11 +15,11 @@
 
 import pytest
 
-from glenkeel.interface import Outcome
-from plovertrail import system
-from plovertrail.host import Call, Result
-from plovertrail.server import FIRST_COMES_S
-from plovertrail.upstreams import Pool
+from ryepier.balancer.interface import Outcome
+from ryepier.sidecar import system
+from ryepier.sidecar.host import Call, Result
+from ryepier.sidecar.server import FIRST_COMES_S
+from ryepier.sidecar.upstreams import Pool
 from tests.net import (
     OK,
     PATIENCE_S,
@@ -172,7 +172,7 @@
     log = folder / "log"
     with log.open("wb") as file:
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "plovertrail", cwd=ROOT, stderr=file, stdin=asyncio.subprocess.DEVNULL,
+            sys.executable, "-m", "ryepier.sidecar", cwd=ROOT, stderr=file, stdin=asyncio.subprocess.DEVNULL,
             env=os.environ | {"BALANCER_CONFIG": str(path)},
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (LIMIT, LIMIT)))
     found = Program(process.pid, port)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from glenkeel.interface import ListKind, Outcome, Subscribe, Upstream, UpstreamsUpdated
+from ryepier.balancer.interface import ListKind, Outcome, Subscribe, Upstream, UpstreamsUpdated
 from tests.world import World, settings, upstreams
 
 PAY = 1
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -14,9 +14,9 @@
 
 import pytest
 
-from glenkeel.interface import RequestClass
-from plovertrail import system
-from plovertrail.host import Call, Host, Result
+from ryepier.balancer.interface import RequestClass
+from ryepier.sidecar import system
+from ryepier.sidecar.host import Call, Host, Result
 from tests.net import (
     NOT_RUN,
     OK,
--- a/tests/test_graphql_front.py
+++ b/tests/test_graphql_front.py
@@ -8,13 +8,13 @@
 from pathlib import Path
 from typing import Any
 
-from glenkeel.interface import ListKind, Upstream, UpstreamsUpdated
-from plovertrail import parts
-from plovertrail.__main__ import serve
-from plovertrail.config import Config, load
-from plovertrail.host import Host
 from ryepier.assembly.parts import parts_for
+from ryepier.balancer.interface import ListKind, Upstream, UpstreamsUpdated
 from ryepier.conf import operators
+from ryepier.sidecar import parts
+from ryepier.sidecar.__main__ import serve
+from ryepier.sidecar.config import Config, load
+from ryepier.sidecar.host import Host
 from tests.net import NOT_RUN, OK, PATIENCE_S, SETTINGS, answering, configuration, free_port, request, until
 from tests.net import Upstream as Peer
 
--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -12,7 +12,7 @@
 import pytest
 from click.testing import CliRunner
 
-from glenkeel.balance import Balancer
+from ryepier.balancer.balancer import Balancer
 from ryepier.cli import main
 from ryepier.emulator import simulated
 from ryepier.emulator.records import Attempt, Try
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from glenkeel.interface import (
+from ryepier.balancer.interface import (
     ListKind,
     Outcome,
     SetTimer,
@@ -13,8 +13,8 @@
     UpstreamState,
     UpstreamsUpdated,
 )
-from plovertrail import system
-from plovertrail.discovery import Directory
+from ryepier.sidecar import system
+from ryepier.sidecar.discovery import Directory
 from tests.world import START_US, World, settings, upstreams
 
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -16,11 +16,11 @@
 
 import pytest
 
-from glenkeel.interface import Outcome, RequestClass, Tenant
-from plovertrail import system
-from plovertrail.host import Answer, Call, Host, Result
-from plovertrail.server import Client, Server, State
-from plovertrail.upstreams import Pool
+from ryepier.balancer.interface import Outcome, RequestClass, Tenant
+from ryepier.sidecar import system
+from ryepier.sidecar.host import Answer, Call, Host, Result
+from ryepier.sidecar.server import Client, Server, State
+from ryepier.sidecar.upstreams import Pool
 from tests.net import (
     OK,
     PATIENCE_S,
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -5,12 +5,12 @@
 import asyncio
 from pathlib import Path
 
-from glenkeel.interface import ListKind, Upstream, UpstreamsUpdated
-from plovertrail import parts
-from plovertrail.__main__ import serve
-from plovertrail.config import Config, load
-from plovertrail.host import Host
-from plovertrail.server import Server
+from ryepier.balancer.interface import ListKind, Upstream, UpstreamsUpdated
+from ryepier.sidecar import parts
+from ryepier.sidecar.__main__ import serve
+from ryepier.sidecar.config import Config, load
+from ryepier.sidecar.host import Host
+from ryepier.sidecar.server import Server
 from tests.net import OK, Sidecar, answering, configuration, free_port, request, until
 from tests.net import Upstream as Peer
 
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -11,8 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import (
+from ryepier.balancer.balancer import Balancer
+from ryepier.balancer.interface import (
     Advice,
     Event,
     ListKind,
--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from glenkeel.interface import Outcome, PlanUpdated
 from ryepier.assembly.parts import machine
+from ryepier.balancer.interface import Outcome, PlanUpdated
 from ryepier.plan import forwarder, planner
 from ryepier.plan.follow import Rules
 from ryepier.plan.messages import LONGEST, VERSION, Frames, Hello, Message, Refusal, Report, encode
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,8 +18,8 @@
 
 import pytest
 
-from glenkeel.wire import WireError
-from plovertrail.config import Config, flatten, load
+from ryepier.balancer.wire import WireError
+from ryepier.sidecar.config import Config, flatten, load
 from tests.net import OK, PATIENCE_S, SETTINGS, Upstream, configuration, entry, holding, listing, read_message, request
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -41,7 +41,8 @@
 
 def test_the_build_compiles_the_sources(tmp_path: Path) -> None:
     with program(configuration(tmp_path)):  # which builds first
-        for source in (*(ROOT / "plovertrail").glob("*.py"), *(ROOT / "glenkeel").glob("*.py")):
+        for source in (ROOT / "ryepier" / "__init__.py", *(ROOT / "ryepier" / "sidecar").glob("*.py"),
+                       *(ROOT / "ryepier" / "balancer").glob("*.py")):
             assert Path(cache_from_source(source)).exists()
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import (
+from ryepier.balancer.balancer import Balancer
+from ryepier.balancer.interface import (
     AttemptEnded,
     ListKind,
     Outcome,
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -14,9 +14,8 @@
 import msgspec
 import pytest
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import Action, AttemptEnded, Event, Outcome
-from plovertrail import config, system
+from ryepier.balancer.balancer import Balancer
+from ryepier.balancer.interface import Action, AttemptEnded, Event, Outcome
 from ryepier.emulator.rig import find_network
 from ryepier.experiments import gauged_planner, planted, scale_call, scale_control, scale_depth
 from ryepier.experiments.chains import Chain, play
@@ -30,6 +29,7 @@
 from ryepier.experiments.scale_control import Look, Sample
 from ryepier.plan.messages import Report, Term, encode
 from ryepier.plan.planner import Server
+from ryepier.sidecar import config, system
 
 SIZES = (50, 100, 200, 400)
 
@@ -303,12 +303,12 @@
 def test_a_profile_tells_our_own_functions_by_their_time(tmp_path: Path) -> None:
     kept: dict[tuple[str, int, str], tuple[int, int, float, float, dict[str, int]]] = {
         (f"/x/{file}", line, function): (1, 1, own_s, 9.0, {}) for file, line, function, own_s in (
-        ("glenkeel/balance.py", 1, "draw", 0.2), ("glenkeel/balance.py", 7, "<listcomp>", 0.4),
-        ("plovertrail/host.py", 1, "start", 0.1), ("plovertrail/host.py", 9, "start", 0.2),
+        ("ryepier/balancer/balancer.py", 1, "draw", 0.2), ("ryepier/balancer/balancer.py", 7, "<listcomp>", 0.4),
+        ("ryepier/sidecar/host.py", 1, "start", 0.1), ("ryepier/sidecar/host.py", 9, "start", 0.2),
         ("python/asyncio/events.py", 1, "run", 5.0))}
     (tmp_path / "profile").write_bytes(marshal.dumps(kept))
     found = scale_call.top_functions(tmp_path / "profile", 1000)
-    assert [name for name, _ in found] == ["balance.listcomp_line_7", "host.start", "balance.draw"]
+    assert [name for name, _ in found] == ["balancer.listcomp_line_7", "host.start", "balancer.draw"]
     assert [us for _, us in found] == pytest.approx([400.0, 300.0, 200.0])
 
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -10,12 +10,12 @@
 
 import pytest
 
-from glenkeel.balance import MOST_SLOTS, Balancer
-from glenkeel.interface import AttemptEnded, Event, Outcome, RequestClass
-from plovertrail import server, system
-from plovertrail import upstreams as pool_of
-from plovertrail.host import Call, Result
-from plovertrail.upstreams import Attempt, Connection, Pool
+from ryepier.balancer.balancer import MOST_SLOTS, Balancer
+from ryepier.balancer.interface import AttemptEnded, Event, Outcome, RequestClass
+from ryepier.sidecar import server, system
+from ryepier.sidecar import upstreams as pool_of
+from ryepier.sidecar.host import Call, Result
+from ryepier.sidecar.upstreams import Attempt, Connection, Pool
 from tests.net import (
     NOT_RUN,
     OK,
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from plovertrail import system
+from ryepier.sidecar import system
 from ryepier.sim.loop import Stuck
 from ryepier.sim.network import WINDOW
 from ryepier.sim.process import OWNER
--- a/tests/test_slice_client.py
+++ b/tests/test_slice_client.py
@@ -20,13 +20,13 @@
 from kubernetes import client as kubernetes
 from kubernetes import watch as kubernetes_watch
 
-from glenkeel.interface import ListKind, UpstreamState, UpstreamsUpdated
-from plovertrail.__main__ import serve
-from plovertrail.config import load
-from plovertrail.host import clock_us
 from ryepier.assembly.parts import parts_for
+from ryepier.balancer.interface import ListKind, UpstreamState, UpstreamsUpdated
 from ryepier.conf import operators
 from ryepier.emulator.apiserver import SERVICE_LABEL, ApiServer, Store
+from ryepier.sidecar.__main__ import serve
+from ryepier.sidecar.config import load
+from ryepier.sidecar.host import clock_us
 from ryepier.slices import client, objects, reflect, source
 from ryepier.slices.client import Access, AccessError, find_access
 from ryepier.slices.listing import Rules
--- a/tests/test_slice_listing.py
+++ b/tests/test_slice_listing.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from glenkeel.interface import UpstreamState
+from ryepier.balancer.interface import UpstreamState
 from ryepier.slices.listing import CALM_US, RESTART_US, Listing, Rules
 from ryepier.slices.merge import Verdict
 
--- a/tests/test_slices.py
+++ b/tests/test_slices.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from glenkeel.interface import UpstreamState
+from ryepier.balancer.interface import UpstreamState
 from ryepier.slices.merge import HOLD_US, Merger
 from ryepier.slices.objects import Slice, SliceError, read_event, read_list
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from glenkeel.interface import (
+from ryepier.balancer.interface import (
     CloseIdle,
     Fail,
     ListKind,
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -10,11 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from glenkeel.interface import Outcome, Refuse, StormUpdated, Tenant
-from plovertrail.__main__ import serve
-from plovertrail.config import load
 from ryepier.assembly.parts import parts_for
+from ryepier.balancer.interface import Outcome, Refuse, StormUpdated, Tenant
 from ryepier.conf import operators
+from ryepier.sidecar.__main__ import serve
+from ryepier.sidecar.config import load
 from ryepier.sim.run import SimLoop, simulate
 from ryepier.storm import sketch
 from ryepier.storm.detect import CLOSES_AFTER_US, Detector, Evidence
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -17,11 +17,11 @@
 
 import pytest
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import ListKind, SetTimer, Subscribe, TimerFired, UpstreamsUpdated
-from plovertrail.discovery import SILENCE_S, Directory, Discovery
-from plovertrail.host import Host
-from plovertrail.upstreams import Pool
+from ryepier.balancer.balancer import Balancer
+from ryepier.balancer.interface import ListKind, SetTimer, Subscribe, TimerFired, UpstreamsUpdated
+from ryepier.sidecar.discovery import SILENCE_S, Directory, Discovery
+from ryepier.sidecar.host import Host
+from ryepier.sidecar.upstreams import Pool
 from tests.net import entry, free_port, listing, read_message, run
 from tests.world import START_US, settings
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from glenkeel import adapter, wire
-from glenkeel import interface as api
-from glenkeel.balance import Balancer
+from ryepier.balancer import adapter, wire
+from ryepier.balancer import interface as api
+from ryepier.balancer.balancer import Balancer
 from tests.options import OPTIONS
 
 LIST = ("6e 00000000 02000000 074a1203 00 00 0000 01 0000803f 0000000000000000"
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import (
+from ryepier.balancer.balancer import Balancer
+from ryepier.balancer.interface import (
     Action,
     AttemptEnded,
     Cancel,
