--- a/ryepier/assembly/parts.py
+++ b/ryepier/assembly/parts.py
@@ -41,20 +41,32 @@
 def trust_rules(operators: Operators) -> follow.Rules:
     """The operators' [trust] as the plan's own rules."""
     trust = operators.trust
-    return follow.Rules(trust.fleet, trust.least_reporters, trust.least_window_ms, trust.least_covered,
-                        trust.most_resting, trust.least_weight)
+    return follow.Rules(
+        trust.fleet,
+        trust.least_reporters,
+        trust.least_window_ms,
+        trust.least_covered,
+        trust.most_resting,
+        trust.least_weight,
+    )
 
 
 def make_forwarder(operators: Operators, config: platform.Config, host: Host, source: Source) -> Companion:
     """The part that reports to planners and follows their plans, as the host's observer."""
+
     def ready() -> dict[str, int]:
         return {uid: ident for uid, ident in source.idents().items() if ident in host.addresses}
 
     plan = operators.plan
-    settings = forwarder.Settings(plan.name or config.name, [parse_address(text) for text in plan.planners],
-                                  trust_rules(operators), plan.report_ms / 1000)
-    sidecar = forwarder.Sidecar(ready, host.planned, [kind.aim_us for kind in config.settings.classes],
-                                len(config.settings.tenants))
+    settings = forwarder.Settings(
+        plan.name or config.name,
+        [parse_address(text) for text in plan.planners],
+        trust_rules(operators),
+        plan.report_ms / 1000,
+    )
+    sidecar = forwarder.Sidecar(
+        ready, host.planned, [kind.aim_us for kind in config.settings.classes], len(config.settings.tenants)
+    )
     made = forwarder.Forwarder(settings, sidecar, machine(f"{config.seed} {settings.name}"))
     host.observe(made)
     return made
@@ -68,8 +80,13 @@
     settings = config.settings
     shares = [tenant.share or tenant.allowance_per_s for tenant in settings.tenants]
     whole = sum(shares) or 1.0
-    made = Guard(Detector(clock_us(), [share / whole for share in shares], settings.max_retry_after_us,
-                          operators.storm.whole_seconds), host.stormed, clock_us)
+    made = Guard(
+        Detector(
+            clock_us(), [share / whole for share in shares], settings.max_retry_after_us, operators.storm.whole_seconds
+        ),
+        host.stormed,
+        clock_us,
+    )
     host.recogniser = made
     host.observe(made)
     return made
@@ -80,8 +97,11 @@
     from ryepier.slices.source import SliceSource  # with TLS and all: only where it is used
 
     settings = source_settings(operators.slices, config)
-    log.info("the list comes from the EndpointSlices of %s/%s; the platform's discovery is not asked",
-             settings.namespace, settings.service)
+    log.info(
+        "the list comes from the EndpointSlices of %s/%s; the platform's discovery is not asked",
+        settings.namespace,
+        settings.service,
+    )
     return SliceSource(settings, host.list_changed, clock_us)
 
 
@@ -103,12 +123,22 @@
     from ryepier.slices.listing import Rules
     from ryepier.slices.source import Settings
 
-    access = find_access(slices.server, slices.token_file, slices.ca_file, slices.client_cert_file,
-                         slices.client_key_file)
+    access = find_access(
+        slices.server, slices.token_file, slices.ca_file, slices.client_cert_file, slices.client_key_file
+    )
     rules = Rules(config.zones, len(config.kinds), slices.cell, slices.settle_ms * 1000)
-    return Settings(access, namespace_of(slices), slices.service, rules, slices.port, slices.watch_s,
-                    slices.hold_s * 1_000_000, Path(slices.cache) if slices.cache else None,
-                    not config.settings.list_on_request, config.seed)
+    return Settings(
+        access,
+        namespace_of(slices),
+        slices.service,
+        rules,
+        slices.port,
+        slices.watch_s,
+        slices.hold_s * 1_000_000,
+        Path(slices.cache) if slices.cache else None,
+        not config.settings.list_on_request,
+        config.seed,
+    )
 
 
 def check(operators: Operators, config: platform.Config) -> None:
@@ -156,6 +186,13 @@
     if folder is not None and not folder.is_dir():
         raise AssemblyError(f"planner.snapshots: no folder {folder}")
     settings = planner.Settings(
-        own.name, parse_address(own.listen), {name: parse_address(text) for name, text in own.peers.items()},
-        trust_rules(operators), own.tenant_shares, own.class_limits, own.most_forwarders, folder)
+        own.name,
+        parse_address(own.listen),
+        {name: parse_address(text) for name, text in own.peers.items()},
+        trust_rules(operators),
+        own.tenant_shares,
+        own.class_limits,
+        own.most_forwarders,
+        folder,
+    )
     return planner.Server(settings, machine(f"{seed} {own.name}"))
--- a/ryepier/balancer/balancer.py
+++ b/ryepier/balancer/balancer.py
@@ -313,8 +313,11 @@
     def finish(self, request: Request) -> None:
         """Rule 1 and 2, the one place of final answers: one each; refused only if nothing may have run."""
         kind = self.class_of(request)
-        harmless = (kind.effect == "idempotent" or request.first_that_may_have_run() is None
-                    or (kind.effect == "deduplicated" and kind.group == "all"))
+        harmless = (
+            kind.effect == "idempotent"
+            or request.first_that_may_have_run() is None
+            or (kind.effect == "deduplicated" and kind.group == "all")
+        )
         self.close(request)
         ident = request.event.request
         advice_us = self.retry_after_us(request) if self.settings.retry_after else 0
@@ -480,15 +483,19 @@
                 best = self.free_slots(request, warm if barred else [*warm, *cold], some_rest)
                 if not best or len(pool.subset) < SMALLEST_SUBSET + int(pool.rate / A_SECOND_EACH):
                     # hazard: each sidecar connected to each upstream fills their tables of connections
-                    others = [s for s in self.servers.values()
-                              if s.pool is pool and s not in pool.subset and s not in barred]
+                    others = [
+                        s
+                        for s in self.servers.values()
+                        if s.pool is pool and s not in pool.subset and s not in barred
+                    ]
                     best = self.free_slots(request, others, some_rest) or best
             if best:
                 return self.random.choices(best, [share for _, share in best])[0][0]
         return None
 
-    def free_slots(self, request: Request, servers: list[Server],
-                   some_rest: bool) -> list[tuple[Server, float]]:
+    def free_slots(
+        self, request: Request, servers: list[Server], some_rest: bool
+    ) -> list[tuple[Server, float]]:
         """The upstreams with a slot free for it, each with its slots, which count less where it is slow."""
         tried = [attempt.server for attempt in request.attempts]
         index, bound = request.event.class_index, self.bound_to(request)
@@ -634,14 +641,14 @@
 
     def on_attempt_ended(self, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
-        attempts = request.attempts[event.attempt:event.attempt + 1] if request is not None else []
+        attempts = request.attempts[event.attempt : event.attempt + 1] if request is not None else []
         if request is None or not attempts or attempts[0].ended is not None:
             return
         attempt = attempts[0]
         attempt.ended = event.outcome
         server = attempt.server
         server.used -= int(not attempt.lost)
-        earlier = server.out[:server.out.index(attempt)]
+        earlier = server.out[: server.out.index(attempt)]
         server.out.remove(attempt)
         # hazard: what others overtook tells nothing of the load; judged by it, an upstream that leaves some
         # unanswered would be cut to one slot, and its time would be that of no answer
--- a/ryepier/balancer/interface.py
+++ b/ryepier/balancer/interface.py
@@ -127,8 +127,16 @@
         _require(self.max_attempts >= 1, "a max_attempts of 1 or more", self.max_attempts)
         _require(0 < self.cold_share <= 1, "a cold_share above 0, at most 1", self.cold_share)
         _require(self.overload_factor > 0, "an overload_factor above 0", self.overload_factor)
-        for name in ("zone", "tick_us", "max_retry_after_us", "connect_timeout_us", "ask_within_us",
-                     "warm_up_us", "fall_us", "cross_zone_fee"):
+        for name in (
+            "zone",
+            "tick_us",
+            "max_retry_after_us",
+            "connect_timeout_us",
+            "ask_within_us",
+            "warm_up_us",
+            "fall_us",
+            "cross_zone_fee",
+        ):
             _require(getattr(self, name) >= 0, f"a {name} of 0 or more", getattr(self, name))
 
 
@@ -230,8 +238,12 @@
     It bounds and informs: which upstream gets a request is still decided here."""
 
     advice: list[Advice] = field(default_factory=list)
-    tenant_worth: list[float] = field(default_factory=list)  # by tenant: 1 = within its share over all sidecars
-    class_admit: list[float] = field(default_factory=list)  # by class: the share of arrivals let in; empty = all
+    tenant_worth: list[float] = field(
+        default_factory=list
+    )  # by tenant: 1 = within its share over all sidecars
+    class_admit: list[float] = field(
+        default_factory=list
+    )  # by class: the share of arrivals let in; empty = all
 
 
 @dataclass(slots=True)
@@ -246,8 +258,18 @@
     whole_seconds: bool = False  # clients read no parts of a second
 
 
-Event = (UpstreamsUpdated | PlanUpdated | StormUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted
-         | ProbeEnded | TimerFired | PeerMessage)
+Event = (
+    UpstreamsUpdated
+    | PlanUpdated
+    | StormUpdated
+    | RequestArrived
+    | RequestGone
+    | AttemptEnded
+    | StreamStarted
+    | ProbeEnded
+    | TimerFired
+    | PeerMessage
+)
 
 
 # Actions
@@ -321,5 +343,4 @@
     text: str
 
 
-Action = (Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | FetchList | CloseIdle
-          | TellPeer | Log)
+Action = Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | FetchList | CloseIdle | TellPeer | Log
--- a/ryepier/balancer/wire.py
+++ b/ryepier/balancer/wire.py
@@ -28,15 +28,26 @@
 _U32 = struct.Struct("<I")
 
 _OUTCOMES = {
-    0: api.Outcome.OK, 5: api.Outcome.ERROR, 11: api.Outcome.FULL, 110: api.Outcome.TIMEOUT,
-    111: api.Outcome.CONNECT_FAILED, 104: api.Outcome.RESET, 125: api.Outcome.CANCELLED,
+    0: api.Outcome.OK,
+    5: api.Outcome.ERROR,
+    11: api.Outcome.FULL,
+    110: api.Outcome.TIMEOUT,
+    111: api.Outcome.CONNECT_FAILED,
+    104: api.Outcome.RESET,
+    125: api.Outcome.CANCELLED,
     114: api.Outcome.NOT_SENT,
 }
 _STATES = {0: api.UpstreamState.GONE, 1: api.UpstreamState.READY, 2: api.UpstreamState.DRAINING}
 _LIST_KINDS = {0: api.ListKind.DELTA, 1: api.ListKind.FULL, 2: api.ListKind.CACHED, 3: api.ListKind.FAILED}
 # Load report values: the wire's names and ours; a name not known here is kept as it is.
-_REPORT_NAMES = {"rif": "in_flight", "q": "queued", "busy": "utilization", "lat_ms": "latency_ms",
-                 "rate": "served_per_s", "fail_rate": "errors_per_s"}
+_REPORT_NAMES = {
+    "rif": "in_flight",
+    "q": "queued",
+    "busy": "utilization",
+    "lat_ms": "latency_ms",
+    "rate": "served_per_s",
+    "fail_rate": "errors_per_s",
+}
 _U32_MAX = 0xFFFFFFFF
 V = TypeVar("V")
 
@@ -102,7 +113,7 @@
         end = self.at + size
         if end > len(self.data):
             raise WireError(f"truncated: {size} bytes wanted, {len(self.data) - self.at} left")
-        piece = self.data[self.at:end]
+        piece = self.data[self.at : end]
         self.at = end
         return piece
 
@@ -123,8 +134,11 @@
         ):
             if not math.isfinite(weight):
                 raise WireError(f"upstream {upstream} has a weight that is not a finite number")
-            entries.append(api.Upstream(upstream, _known(_STATES, state, "upstream condition"), zone, kind,
-                                        cell, weight, started))
+            entries.append(
+                api.Upstream(
+                    upstream, _known(_STATES, state, "upstream condition"), zone, kind, cell, weight, started
+                )
+            )
         self.lists[number] = entries
 
 
@@ -156,14 +170,22 @@
 
 def _accept(frame: Decoder) -> Record:
     request, class_index, tenant, key, cost, marks, due = frame.fields(_ACCEPT)
-    return api.RequestArrived(request, due, class_index, tenant, key, cost if marks & 1 else 0,
-                              bool(marks & 2), bool(marks & 4))
+    return api.RequestArrived(
+        request, due, class_index, tenant, key, cost if marks & 1 else 0, bool(marks & 2), bool(marks & 4)
+    )
 
 
 def _completed(frame: Decoder) -> Record:
     request, attempt, upstream, verdict, spent, last, count = frame.fields(_COMPLETED)
-    return api.AttemptEnded(request, attempt, upstream, _known(_OUTCOMES, verdict, "outcome"), spent,
-                            bool(last), frame.floats(count))
+    return api.AttemptEnded(
+        request,
+        attempt,
+        upstream,
+        _known(_OUTCOMES, verdict, "outcome"),
+        spent,
+        bool(last),
+        frame.floats(count),
+    )
 
 
 def _begun(frame: Decoder) -> Record:
@@ -182,10 +204,16 @@
 
 
 _READERS: dict[int, Callable[[Decoder], Record]] = {
-    10: _completed, 20: _begun, 30: _datagram, 40: _stopped,
+    10: _completed,
+    20: _begun,
+    30: _datagram,
+    40: _stopped,
     50: lambda frame: api.TimerFired(frame.fields(_U32)[0]),
     60: lambda frame: api.RequestGone(frame.fields(_U32)[0]),
-    70: _accept, 80: _members, 90: _health, 100: _started,
+    70: _accept,
+    80: _members,
+    90: _health,
+    100: _started,
 }
 
 
@@ -286,8 +314,9 @@
 
 
 def _tenant(options: _Options, at: str) -> api.Tenant:
-    return api.Tenant(options.text(at + "name"), options.number(at + "allowance-per-s"),
-                      options.number(at + "share", "0"))
+    return api.Tenant(
+        options.text(at + "name"), options.number(at + "allowance-per-s"), options.number(at + "share", "0")
+    )
 
 
 def parse_settings(text: str) -> api.Settings:
@@ -330,8 +359,9 @@
             overload_factor=o.number("invariants.overload-factor"),
             fall_us=o.whole("invariants.fall"),
             cross_zone_fee=o.number("fees.cross-zone", "0"),
-            report_names=[_REPORT_NAMES.get(name, name)
-                          for name in o.text("report.names", "").split(",") if name],
+            report_names=[
+                _REPORT_NAMES.get(name, name) for name in o.text("report.names", "").split(",") if name
+            ],
             weighted=o.text("weights", "none") != "none",
         )
     except ValueError as error:
--- a/ryepier/check/canonical.py
+++ b/ryepier/check/canonical.py
@@ -26,8 +26,10 @@
     ids = range(1, model.converters + 1)
     for order in itertools.permutations(ids):
         cells: dict[int, int] = {}
-        if all(cells.setdefault(model.cell(old), model.cell(new)) == model.cell(new)
-               for old, new in zip(ids, order, strict=True)) and len(set(cells.values())) == len(cells):
+        if all(
+            cells.setdefault(model.cell(old), model.cell(new)) == model.cell(new)
+            for old, new in zip(ids, order, strict=True)
+        ) and len(set(cells.values())) == len(cells):
             yield dict(zip(ids, order, strict=True))
 
 
@@ -48,39 +50,84 @@
 
     def attempt(self, one: balancer.Attempt) -> tuple[Any, ...]:
         ended = one.ended.value if one.ended is not None else ""
-        return (self.rename[one.entry.id], max(-OLDEST_US, one.sent_us - self.now_us),
-                min(one.overtaken, balancer.OVERTAKEN), one.passed, one.silent, one.lost, ended)
+        return (
+            self.rename[one.entry.id],
+            max(-OLDEST_US, one.sent_us - self.now_us),
+            min(one.overtaken, balancer.OVERTAKEN),
+            one.passed,
+            one.silent,
+            one.lost,
+            ended,
+        )
 
     def server(self, one: balancer.Server) -> tuple[Any, ...]:
-        return (self.rename[one.entry.id], one.entry.state.value, one.used, int(one.window), one.window < 1.0,
-                self.left(one.rest_until_us), tuple(one.mute), tuple(map(self.left, one.mute_until_us)), one.room,
-                one.slow_start, one in one.pool.subset, len(one.out))
+        return (
+            self.rename[one.entry.id],
+            one.entry.state.value,
+            one.used,
+            int(one.window),
+            one.window < 1.0,
+            self.left(one.rest_until_us),
+            tuple(one.mute),
+            tuple(map(self.left, one.mute_until_us)),
+            one.room,
+            one.slow_start,
+            one in one.pool.subset,
+            len(one.out),
+        )
 
     def asked(self, one: balancer.Request) -> tuple[Any, ...]:
-        return (one.event.request, self.left(one.event.due_us), self.left(one.arrived_us + self.half_aim_us(one)),
-                tuple(map(self.attempt, one.attempts)), one.done)
+        return (
+            one.event.request,
+            self.left(one.event.due_us),
+            self.left(one.arrived_us + self.half_aim_us(one)),
+            tuple(map(self.attempt, one.attempts)),
+            one.done,
+        )
 
     def held(self, one: host.Request) -> tuple[Any, ...]:
-        return (one.ident, one.over, self.left(one.due_us),
-                tuple((self.rename[a.upstream], a.ended) for a in one.attempts))
+        return (
+            one.ident,
+            one.over,
+            self.left(one.due_us),
+            tuple((self.rename[a.upstream], a.ended) for a in one.attempts),
+        )
 
     def whole(self) -> tuple[Any, ...]:
         world, balancer = self.world, self.world.host.balancer
-        flights = [(sent.request, self.rename[sent.upstream], sent.written, sent.over,
-                    sent.outcome.value if sent.outcome is not None else "",
-                    max(-OLDEST_US, sent.at_us - self.now_us)) for sent in world.flights]
-        clients = [(client.ident, client.gone, len(client.answers), self.left(client.due_us))
-                   for client in world.clients]
-        timers = sorted((self.left(at_us), timer.what.__name__) for at_us, _, timer in world.timers.heap
-                        if not timer.cancelled)
-        return (flights, clients, timers, world.changes, world.gone,
-                sorted((self.rename[upstream], state.value) for upstream, state in world.states.items()),
-                sorted(map(self.server, balancer.servers.values())),
-                [self.asked(one) for _, one in sorted(balancer.requests.items())],
-                [self.held(one) for _, one in sorted(world.host.requests.items())],
-                balancer.buffer.event.request if balancer.buffer is not None else 0,
-                sorted((self.left(at_us), what, ident, number) for at_us, what, ident, number in balancer.wakeups),
-                self.left(balancer.armed_us), int(balancer.retries), [int(2 * pool.credit) for pool in balancer.pools])
+        flights = [
+            (
+                sent.request,
+                self.rename[sent.upstream],
+                sent.written,
+                sent.over,
+                sent.outcome.value if sent.outcome is not None else "",
+                max(-OLDEST_US, sent.at_us - self.now_us),
+            )
+            for sent in world.flights
+        ]
+        clients = [
+            (client.ident, client.gone, len(client.answers), self.left(client.due_us)) for client in world.clients
+        ]
+        timers = sorted(
+            (self.left(at_us), timer.what.__name__) for at_us, _, timer in world.timers.heap if not timer.cancelled
+        )
+        return (
+            flights,
+            clients,
+            timers,
+            world.changes,
+            world.gone,
+            sorted((self.rename[upstream], state.value) for upstream, state in world.states.items()),
+            sorted(map(self.server, balancer.servers.values())),
+            [self.asked(one) for _, one in sorted(balancer.requests.items())],
+            [self.held(one) for _, one in sorted(world.host.requests.items())],
+            balancer.buffer.event.request if balancer.buffer is not None else 0,
+            sorted((self.left(at_us), what, ident, number) for at_us, what, ident, number in balancer.wakeups),
+            self.left(balancer.armed_us),
+            int(balancer.retries),
+            [int(2 * pool.credit) for pool in balancer.pools],
+        )
 
 
 def digest(world: World, ways: list[Rename]) -> bytes:
--- a/ryepier/check/explore.py
+++ b/ryepier/check/explore.py
@@ -112,8 +112,14 @@
     return set(kept.seen), frontier, Outcome(len(kept.seen), kept.transitions, kept.ends, kept.depth, kept.seconds)
 
 
-def explore(model: Model, processes: int | None = None, plant: Plant | None = None, keep: Path | None = None,
-            most_s: float = float("inf"), told: Callable[[Outcome], None] = lambda outcome: None) -> Outcome:
+def explore(
+    model: Model,
+    processes: int | None = None,
+    plant: Plant | None = None,
+    keep: Path | None = None,
+    most_s: float = float("inf"),
+    told: Callable[[Outcome], None] = lambda outcome: None,
+) -> Outcome:
     """Level by level, until all is explored, a rule breaks, the model's depth is reached or the time is out."""
     seen: set[bytes] = {digester(model)(walk(model, ()))}
     frontier: list[Steps] = [()]
@@ -123,7 +129,7 @@
     before_s, begun = result.seconds, time.monotonic()
     with ProcessPoolExecutor(processes or os.cpu_count(), initializer=plant) as pool:
         while frontier and result.breach is None and not 0 < model.depth <= result.depth:
-            chunks = [frontier[at:at + CHUNK] for at in range(0, len(frontier), CHUNK)]
+            chunks = [frontier[at : at + CHUNK] for at in range(0, len(frontier), CHUNK)]
             frontier = []
             for found in (one for some in pool.map(expand_some, [model] * len(chunks), chunks) for one in some):
                 result.transitions += found.transitions
--- a/ryepier/check/model.py
+++ b/ryepier/check/model.py
@@ -29,10 +29,12 @@
 CLASSES = {
     "once": api.RequestClass("once", AIM_US, DEADLINE_US, worth=2.0, late_worth=0.5, effect="at_most_once"),
     "ask": api.RequestClass("ask", AIM_US, DEADLINE_US, late_worth=0.5),
-    "cell": api.RequestClass("cell", AIM_US, DEADLINE_US, late_worth=0.5, effect="deduplicated", group="cell",
-                             memory_us=MEMORY_US),
-    "all": api.RequestClass("all", AIM_US, DEADLINE_US, late_worth=0.5, effect="deduplicated", group="all",
-                            memory_us=MEMORY_US),
+    "cell": api.RequestClass(
+        "cell", AIM_US, DEADLINE_US, late_worth=0.5, effect="deduplicated", group="cell", memory_us=MEMORY_US
+    ),
+    "all": api.RequestClass(
+        "all", AIM_US, DEADLINE_US, late_worth=0.5, effect="deduplicated", group="all", memory_us=MEMORY_US
+    ),
 }
 OUTCOMES = {"ok": api.Outcome.OK, "error": api.Outcome.ERROR, "full": api.Outcome.FULL, "reset": api.Outcome.RESET}
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
@@ -217,8 +219,15 @@
 
     # As the host's upstreams
 
-    def start(self, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
-              ended: Callable[[Result], None], latest_us: int = 0) -> Sent:
+    def start(
+        self,
+        upstream: int,
+        address: tuple[str, int],
+        call: Call,
+        timeout_us: int,
+        ended: Callable[[Result], None],
+        latest_us: int = 0,
+    ) -> Sent:
         client = self.clients[int(call.ident)]
         sent = Sent(len(self.flights), int(call.ident), upstream, ended, self.timers.now_us, not self.model.dials)
         self.flights.append(sent)
@@ -263,12 +272,12 @@
         if client.gone:
             self.breach("answers", f"request {number} is answered though its client has gone")
         client.answers.append(answer)
-        harmless = client.kind.effect == "idempotent" or client.kind.group == "all" and (
-            client.kind.effect == "deduplicated")
+        harmless = (
+            client.kind.effect == "idempotent" or client.kind.group == "all" and (client.kind.effect == "deduplicated")
+        )
         if answer.verdict is Verdict.REFUSED and not harmless and any(one.may_have_run() for one in client.sent):
             self.breach("refused", f"request {number} is refused, and an attempt may have run")
-        if answer.verdict is Verdict.SERVED and not any(
-                one.outcome is api.Outcome.OK for one in client.sent):
+        if answer.verdict is Verdict.SERVED and not any(one.outcome is api.Outcome.OK for one in client.sent):
             self.breach("answers", f"request {number} is served, and no converter did it")
 
     def breach(self, rule: str, text: str) -> None:
@@ -326,8 +335,10 @@
         client.due_us = now_us + DEADLINE_US
         client.ident = self.host.last_ident + 1
         self.events.append(f"request {step.index}, {client.kind.name}, comes")
-        self.host.arrived(Call(b"POST", b"/", [], b"", now_us, DEADLINE_US, self.classes[step.index],
-                               str(step.index).encode()), partial(self.replied, step.index))
+        self.host.arrived(
+            Call(b"POST", b"/", [], b"", now_us, DEADLINE_US, self.classes[step.index], str(step.index).encode()),
+            partial(self.replied, step.index),
+        )
 
     def _leave(self, step: Step) -> None:
         client = self.clients[step.index]
@@ -365,8 +376,9 @@
     def _unlist(self, step: Step) -> None:
         """A whole list without it."""
         self.note(step.index, api.UpstreamState.GONE)
-        self.tell_list(api.ListKind.FULL, [upstream for upstream, state in self.states.items()
-                                           if state is api.UpstreamState.READY])
+        self.tell_list(
+            api.ListKind.FULL, [upstream for upstream, state in self.states.items() if state is api.UpstreamState.READY]
+        )
 
     def change(self, upstream: int, state: api.UpstreamState) -> None:
         self.note(upstream, state)
@@ -378,10 +390,14 @@
         self.events.append(f"converter {upstream} is told to be {state.value}")
 
     def tell_list(self, kind: api.ListKind, upstreams: list[int]) -> None:
-        entries = [api.Upstream(upstream, self.states[upstream], cell=self.model.cell(upstream))
-                   for upstream in upstreams]
-        addresses = {upstream: ("", upstream) for upstream in upstreams
-                     if kind is not api.ListKind.FULL or self.states[upstream] is api.UpstreamState.READY}
+        entries = [
+            api.Upstream(upstream, self.states[upstream], cell=self.model.cell(upstream)) for upstream in upstreams
+        ]
+        addresses = {
+            upstream: ("", upstream)
+            for upstream in upstreams
+            if kind is not api.ListKind.FULL or self.states[upstream] is api.UpstreamState.READY
+        }
         self.host.list_changed(api.UpstreamsUpdated(kind, entries, self.changes + 1), addresses)
 
     def _tick(self, step: Step) -> None:
@@ -423,11 +439,17 @@
         else:
             self.breach("leak", "timers without an end")
         balancer = self.host.balancer
-        left = [name for name, what in (("the host's requests", self.host.requests),
-                                        ("the module's requests", balancer.requests),
-                                        ("the module's buffer", balancer.buffer),
-                                        ("slots", sum(server.used for server in balancer.servers.values())),
-                                        ("timers", balancer.wakeups)) if what]
+        left = [
+            name
+            for name, what in (
+                ("the host's requests", self.host.requests),
+                ("the module's requests", balancer.requests),
+                ("the module's buffer", balancer.buffer),
+                ("slots", sum(server.used for server in balancer.servers.values())),
+                ("timers", balancer.wakeups),
+            )
+            if what
+        ]
         if left:
             self.breach("leak", f"left once all is over: {', '.join(left)}")
 
--- a/ryepier/check/plants.py
+++ b/ryepier/check/plants.py
@@ -69,9 +69,14 @@
 
 def careless_resend() -> None:
     """What was reset is taken for never run."""
-    Request.first_that_may_have_run = lambda self: next((  # type: ignore[method-assign]
-        a for a in self.attempts if a.ended not in (
-            api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT, api.Outcome.RESET)), None)
+    Request.first_that_may_have_run = lambda self: next(
+        (  # type: ignore[method-assign]
+            a
+            for a in self.attempts
+            if a.ended not in (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT, api.Outcome.RESET)
+        ),
+        None,
+    )
 
 
 def any_cell() -> None:
@@ -96,6 +101,7 @@
 
 def deaf() -> None:
     """A converter that drains stays in the module's list and in the host's."""
+
     def hear(self: Host, event: api.UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
         for entry in event.upstreams:
             entry.state = api.UpstreamState.READY if entry.state is api.UpstreamState.DRAINING else entry.state
@@ -155,10 +161,16 @@
 
 
 PLANTS: dict[str, tuple[str, Callable[[], None]]] = {  # by name: the rule that breaks, and the mistake
-    "second-answer": ("answers", second_answer), "lost-answer": ("in time", lost_answer),
-    "held-answer": ("at once", held_answer), "two-at-once": ("together", two_at_once),
-    "careless-resend": ("resend", careless_resend), "any-cell": ("resend", any_cell),
-    "long-memory": ("resend", long_memory), "deaf": ("drain", deaf), "freed-twice": ("slots", freed_twice),
-    "never-forgotten": ("leak", never_forgotten), "one-more": ("attempts", one_more),
+    "second-answer": ("answers", second_answer),
+    "lost-answer": ("in time", lost_answer),
+    "held-answer": ("at once", held_answer),
+    "two-at-once": ("together", two_at_once),
+    "careless-resend": ("resend", careless_resend),
+    "any-cell": ("resend", any_cell),
+    "long-memory": ("resend", long_memory),
+    "deaf": ("drain", deaf),
+    "freed-twice": ("slots", freed_twice),
+    "never-forgotten": ("leak", never_forgotten),
+    "one-more": ("attempts", one_more),
     "glib-refusal": ("refused", glib_refusal),
 }
--- a/ryepier/check/reached.py
+++ b/ryepier/check/reached.py
@@ -31,8 +31,11 @@
     for name, kind in vars(module).items():
         if inspect.isclass(kind) and kind.__module__ == module.__name__:
             for method, what in vars(kind).items():
-                if inspect.isfunction(what) and what.__module__ == module.__name__ and (
-                        what.__code__.co_filename == module.__file__):
+                if (
+                    inspect.isfunction(what)
+                    and what.__module__ == module.__name__
+                    and (what.__code__.co_filename == module.__file__)
+                ):
                     yield f"{name}.{method}", what.__code__
 
 
--- a/ryepier/commands/check.py
+++ b/ryepier/commands/check.py
@@ -37,8 +37,10 @@
     """The models and the mistakes that can be planted."""
     for model in MODELS.values():
         bound = f", {model.depth} steps" if model.depth else ""
-        print(f"{model.name:16} {model.converters} converters, requests {', '.join(model.requests)}, "
-              f"{model.attempts} attempts, {model.changes} changes of the list, {model.leaves} clients leave{bound}")
+        print(
+            f"{model.name:16} {model.converters} converters, requests {', '.join(model.requests)}, "
+            f"{model.attempts} attempts, {model.changes} changes of the list, {model.leaves} clients leave{bound}"
+        )
     print(f"plants: {', '.join(PLANTS)}")
 
 
@@ -51,15 +53,19 @@
         classes = tuple(requests.split(","))
         unknown = set(classes) - CLASSES.keys()
         if unknown:
-            raise click.BadParameter(f"unknown {', '.join(sorted(unknown))}; known: {', '.join(CLASSES)}",
-                                     param_hint="--requests")
+            raise click.BadParameter(
+                f"unknown {', '.join(sorted(unknown))}; known: {', '.join(CLASSES)}", param_hint="--requests"
+            )
         model = replace(model, requests=classes)
     return replace(model, depth=depth) if depth else model
 
 
 def tell(outcome: explore.Outcome) -> None:
-    print(f"depth {outcome.depth}: {outcome.states} states, {outcome.transitions} transitions, "
-          f"{outcome.ends} ends, {outcome.seconds:.1f} s", file=sys.stderr)
+    print(
+        f"depth {outcome.depth}: {outcome.states} states, {outcome.transitions} transitions, "
+        f"{outcome.ends} ends, {outcome.seconds:.1f} s",
+        file=sys.stderr,
+    )
 
 
 @check.command()
@@ -72,8 +78,17 @@
 @click.option("--keep", type=click.Path(path_type=Path, dir_okay=False), help="Go on from this file, and keep it up.")
 @click.option("--most-s", type=float, default=float("inf"), help="Stop after so many seconds.")
 @click.option("--out", type=click.Path(path_type=Path, dir_okay=False), help="For the path to a breach, as JSON.")
-def run(model: str, converters: int, requests: str, depth: int, plant: str | None, processes: int | None,
-        keep: Path | None, most_s: float, out: Path | None) -> None:
+def run(
+    model: str,
+    converters: int,
+    requests: str,
+    depth: int,
+    plant: str | None,
+    processes: int | None,
+    keep: Path | None,
+    most_s: float,
+    out: Path | None,
+) -> None:
     """Explore MODEL; exit 1 if a rule breaks, with the shortest path to it."""
     one = chosen(model, converters, requests, depth)
     mistake = PLANTS[plant][1] if plant else None
@@ -83,9 +98,11 @@
         print(f"ryepier check: {keep}: {error}", file=sys.stderr)
         sys.exit(2)
     largest = max(resource.getrusage(who).ru_maxrss for who in (resource.RUSAGE_SELF, resource.RUSAGE_CHILDREN))
-    print(f"{one.name}: {outcome.states} states, {outcome.transitions} transitions, {outcome.ends} ends, depth "
-          f"{outcome.depth}, {outcome.seconds:.1f} s, at most {largest // 1024} MB a process; "
-          f"{'explored whole' if outcome.whole else 'not explored whole'}")
+    print(
+        f"{one.name}: {outcome.states} states, {outcome.transitions} transitions, {outcome.ends} ends, depth "
+        f"{outcome.depth}, {outcome.seconds:.1f} s, at most {largest // 1024} MB a process; "
+        f"{'explored whole' if outcome.whole else 'not explored whole'}"
+    )
     if outcome.breach is None:
         return
     print(f"BREAKS {outcome.breach.rule}: {outcome.breach.text}; {len(outcome.path)} steps")
--- a/ryepier/commands/config.py
+++ b/ryepier/commands/config.py
@@ -33,8 +33,9 @@
 def read_operators_file(path: Path | None, environment: Mapping[str, str]) -> operators.Operators:
     """The operators' settings; without a file the defaults and the environment. Ends with 2 on a mistake."""
     # of the environment only names that are a table's are ours: others may share the prefix
-    tables = tuple(f"{operators.ENVIRONMENT_PREFIX}{table.upper()}__"
-                   for table in operators.Operators.__struct_encode_fields__)
+    tables = tuple(
+        f"{operators.ENVIRONMENT_PREFIX}{table.upper()}__" for table in operators.Operators.__struct_encode_fields__
+    )
     ours = {name: value for name, value in environment.items() if name.startswith(tables)}
     try:
         return operators.parse(read_text(path) if path is not None else "", ours)
--- a/ryepier/commands/demo.py
+++ b/ryepier/commands/demo.py
@@ -20,8 +20,12 @@
 PLAIN_EVERY_S = 2.0
 
 DEMO = Experiment(
-    "demo", "a release, a hang and a surge, one after another", lambda scale: load("demo"),
-    lambda run: demo_claims(run), ())
+    "demo",
+    "a release, a hang and a surge, one after another",
+    lambda scale: load("demo"),
+    lambda run: demo_claims(run),
+    (),
+)
 
 
 def demo_claims(run: Run) -> list[Claim]:
@@ -69,8 +73,11 @@
 def demo(seed: int, folder: Path) -> None:
     """Play a small world for under 30 s and write a report of it."""
     world = DEMO.world("small")
-    print(f"{world.converter_count} stand-in converters, {world.sidecars.count} sidecars, "
-          f"{world.clients.rate_per_s:.0f} requests a second for {world.duration_s:.0f} s", file=sys.stderr)
+    print(
+        f"{world.converter_count} stand-in converters, {world.sidecars.count} sidecars, "
+        f"{world.clients.rate_per_s:.0f} requests a second for {world.duration_s:.0f} s",
+        file=sys.stderr,
+    )
     try:
         with live_summary("demo", world.duration_s) as watcher:
             claims = contract.perform(DEMO, seed, "small", folder, watcher=watcher)
--- a/ryepier/commands/experiment.py
+++ b/ryepier/commands/experiment.py
@@ -49,8 +49,13 @@
 @click.option("--scale", type=click.Choice(["small", "full"]), default="small", show_default=True)
 @click.option("--out", "folder", type=click.Path(path_type=Path), help="For the results; by default out/NAME-SEED.")
 @click.option("--plant", default="", help="Put in this mistake on purpose; a claim then fails.")
-@click.option("--backend", type=click.Choice(["sockets", "sim"]), default="sockets", show_default=True,
-              help="Real sockets, or one process under virtual time.")
+@click.option(
+    "--backend",
+    type=click.Choice(["sockets", "sim"]),
+    default="sockets",
+    show_default=True,
+    help="Real sockets, or one process under virtual time.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print the claims as JSON.")
 def run(name: str, seed: int, scale: str, folder: Path | None, plant: str, backend: str, as_json: bool) -> None:
     """Play NAME, print a line a claim; exit 1 if one does not hold."""
@@ -63,8 +68,9 @@
             raise click.BadParameter(f"{name} measures a part by itself", param_hint="--backend")
         claims = _failing_clearly(lambda: contract.perform_measured(one, seed, size, folder, plant))
     else:
-        claims = _failing_clearly(lambda: contract.perform(
-            one, seed, size, folder, plant, backend=cast(contract.Backend, backend)))
+        claims = _failing_clearly(
+            lambda: contract.perform(one, seed, size, folder, plant, backend=cast(contract.Backend, backend))
+        )
         for happening in report.happenings(folder):
             print(f"{happening.at_us / 1e6:8.3f} s  {happening.text}", file=sys.stderr)
         print(f"report: {report.write(folder)}", file=sys.stderr)
@@ -99,8 +105,13 @@
         sys.exit(2)
 
 
-KEPT = click.option("--kept", type=click.Path(exists=True, file_okay=False, path_type=Path), default="docs/capacity",
-                    show_default=True, help="The folder of kept results and of plan.json.")
+KEPT = click.option(
+    "--kept",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    default="docs/capacity",
+    show_default=True,
+    help="The folder of kept results and of plan.json.",
+)
 
 
 @experiment.command()
@@ -118,8 +129,11 @@
 
 @experiment.command()
 @KEPT
-@click.option("--page", type=click.Path(exists=True, dir_okay=False, path_type=Path),
-              help="Make its tables again in place, rather than print them.")
+@click.option(
+    "--page",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="Make its tables again in place, rather than print them.",
+)
 @click.option("--check", is_flag=True, help="Write nothing; exit 1 if the page is not what the results say.")
 @click.option("--json", "as_json", is_flag=True, help="Print the rows as JSON.")
 def capacity(kept: Path, page: Path | None, check: bool, as_json: bool) -> None:
--- a/ryepier/commands/load.py
+++ b/ryepier/commands/load.py
@@ -44,8 +44,9 @@
 @click.option("--seconds", type=click.FloatRange(0.5, 3600))
 @click.option("--seed", type=click.IntRange(0, 2**31), default=1, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="Print the figures as JSON.")
-def load(address: tuple[str, int], path: Path | None, rate: float | None, seconds: float | None, seed: int,
-         as_json: bool) -> None:
+def load(
+    address: tuple[str, int], path: Path | None, rate: float | None, seconds: float | None, seed: int, as_json: bool
+) -> None:
     """Send requests to a sidecar at HOST:PORT as its application would."""
     try:
         world = with_load(read_world_file(path) if path is not None else load_world("demo"), rate, seconds)
@@ -60,8 +61,9 @@
             print(f"ryepier load: {error}", file=sys.stderr)
             sys.exit(1)
     shown = figures.summary(world, history, figures.orders(world, history.tries))
-    kept = {name: value for name, value in shown.items() if name not in ("waste", "sidecar_most_mib",
-                                                                         "attempts_per_try")}
+    kept = {
+        name: value for name, value in shown.items() if name not in ("waste", "sidecar_most_mib", "attempts_per_try")
+    }
     if as_json:
         print(json.dumps(kept))
     else:
--- a/ryepier/commands/plan.py
+++ b/ryepier/commands/plan.py
@@ -67,8 +67,10 @@
 
 def heading(plan: Plan) -> str:
     basis = plan.evidence
-    return (f"plan {plan.number} of {plan.term.planner}, epoch {plan.term.epoch}; {basis.forwarders} forwarders, "
-            f"{basis.attempts} attempts in {basis.window_ms} ms, {basis.covered} of {basis.listed} converters seen")
+    return (
+        f"plan {plan.number} of {plan.term.planner}, epoch {plan.term.epoch}; {basis.forwarders} forwarders, "
+        f"{basis.attempts} attempts in {basis.window_ms} ms, {basis.covered} of {basis.listed} converters seen"
+    )
 
 
 @click.group()
--- a/ryepier/commands/run.py
+++ b/ryepier/commands/run.py
@@ -19,8 +19,14 @@
 
 @click.command()
 @click.option("--config", "path", type=click.Path(path_type=Path), help="The operators' file (TOML).")
-@click.option("--platform", "platform_path", envvar="BALANCER_CONFIG", required=True, type=click.Path(),
-              help="The platform's configuration (JSON); by default what BALANCER_CONFIG names.")
+@click.option(
+    "--platform",
+    "platform_path",
+    envvar="BALANCER_CONFIG",
+    required=True,
+    type=click.Path(),
+    help="The platform's configuration (JSON); by default what BALANCER_CONFIG names.",
+)
 def run(path: Path | None, platform_path: str) -> None:
     """Run one sidecar until SIGTERM."""
     operators = read_operators_file(path, os.environ)
--- a/ryepier/commands/sim.py
+++ b/ryepier/commands/sim.py
@@ -54,10 +54,20 @@
         sys.exit(2)
     breaches = Counter(breach.rule for breach in judge.judge(world, history))
     orders = figures.orders(world, history.tries)
-    print(json.dumps({
-        "world": name, "seed": seed, "trace": search.trace_of(history), "service": figures.service(orders),
-        "tries": len(history.tries), "attempts": len(history.attempts), "breaches": breaches,
-        "simulated_s_a_second": world.duration_s / (time.monotonic() - begun)}))
+    print(
+        json.dumps(
+            {
+                "world": name,
+                "seed": seed,
+                "trace": search.trace_of(history),
+                "service": figures.service(orders),
+                "tries": len(history.tries),
+                "attempts": len(history.attempts),
+                "breaches": breaches,
+                "simulated_s_a_second": world.duration_s / (time.monotonic() - begun),
+            }
+        )
+    )
     sys.exit(1 if breaches else 0)
 
 
@@ -92,8 +102,12 @@
     rows = coverage.rows()
     widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
     for row in rows:
-        print("  ".join(text.ljust(width) if column == 0 else text.rjust(width)
-                        for column, (text, width) in enumerate(zip(row, widths, strict=True))))
+        print(
+            "  ".join(
+                text.ljust(width) if column == 0 else text.rjust(width)
+                for column, (text, width) in enumerate(zip(row, widths, strict=True))
+            )
+        )
     for state, meaning in LEGEND.items():
         print(f"{state}: {meaning}")
 
--- a/ryepier/commands/slices.py
+++ b/ryepier/commands/slices.py
@@ -25,8 +25,10 @@
 from ryepier.slices.source import Settings, SliceSource
 
 RULE_TEXTS = {
-    1: "all slices that hold it say the same", 3: "it was seen terminating, and a pod never comes back from that",
-    4: "the slices differ, and the safest word counts", 6: "all slices vanished at once, so the last list is held",
+    1: "all slices that hold it say the same",
+    3: "it was seen terminating, and a pod never comes back from that",
+    4: "the slices differ, and the safest word counts",
+    6: "all slices vanished at once, so the last list is held",
 }
 WITHIN_S = 30.0
 
@@ -40,10 +42,19 @@
     try:
         if not name:
             raise AccessError("no service is named, by --service or by slices.service in the operators' file")
-        access = find_access(slices.server, slices.token_file, slices.ca_file, slices.client_cert_file,
-                             slices.client_key_file)
-        return Settings(access, namespace_of(slices), name, Rules([], 0, slices.cell, slices.settle_ms * 1000),
-                        slices.port, slices.watch_s, slices.hold_s * 1_000_000, seed=random.getrandbits(32))
+        access = find_access(
+            slices.server, slices.token_file, slices.ca_file, slices.client_cert_file, slices.client_key_file
+        )
+        return Settings(
+            access,
+            namespace_of(slices),
+            name,
+            Rules([], 0, slices.cell, slices.settle_ms * 1000),
+            slices.port,
+            slices.watch_s,
+            slices.hold_s * 1_000_000,
+            seed=random.getrandbits(32),
+        )
     except AccessError as error:
         print(f"ryepier slices: {error}", file=sys.stderr)
         sys.exit(2)
@@ -58,15 +69,28 @@
     del kept
 
 
-def print_event(event: UpstreamsUpdated, addresses: dict[int, tuple[str, int]], idents: dict[int, str],
-                as_json: bool) -> None:
+def print_event(
+    event: UpstreamsUpdated, addresses: dict[int, tuple[str, int]], idents: dict[int, str], as_json: bool
+) -> None:
     """One line for each entry."""
     for entry in event.upstreams:
         host, port = addresses[entry.id]
         uid = idents.get(entry.id, "")
         if as_json:
-            print(json.dumps({"list": event.kind.value, "version": event.version, "uid": uid, "host": host,
-                              "port": port, "state": entry.state.value, "cell": entry.cell}), flush=True)
+            print(
+                json.dumps(
+                    {
+                        "list": event.kind.value,
+                        "version": event.version,
+                        "uid": uid,
+                        "host": host,
+                        "port": port,
+                        "state": entry.state.value,
+                        "cell": entry.cell,
+                    }
+                ),
+                flush=True,
+            )
         else:
             print(f"{event.version:6} {event.kind.value:6} {entry.state.value:9} {host}:{port} {uid}", flush=True)
 
@@ -82,8 +106,16 @@
                 merger.replace(one.slices)
                 listed.set()
 
-    client = make_client(settings.access, settings.namespace, settings.service, settings.watch_s, settings.seed, take,
-                         lambda: None, clock_us)
+    client = make_client(
+        settings.access,
+        settings.namespace,
+        settings.service,
+        settings.watch_s,
+        settings.seed,
+        take,
+        lambda: None,
+        clock_us,
+    )
     following = asyncio.create_task(client.run())
     try:
         async with asyncio.timeout(WITHIN_S):
@@ -95,16 +127,32 @@
 
 def wanted(merger: Merger, text: str) -> list[Verdict]:
     """The converters that a person may mean: by pod uid, by address, or by address and port."""
-    return [verdict for identity, verdict in merger.verdicts(0).items()
-            if text in (identity, verdict.address[0], f"{verdict.address[0]}:{verdict.address[1]}",
-                        f"[{verdict.address[0]}]:{verdict.address[1]}")]
+    return [
+        verdict
+        for identity, verdict in merger.verdicts(0).items()
+        if text
+        in (
+            identity,
+            verdict.address[0],
+            f"{verdict.address[0]}:{verdict.address[1]}",
+            f"[{verdict.address[0]}]:{verdict.address[1]}",
+        )
+    ]
 
 
 def describe_word(word: Word) -> str:
-    places = [text for text in (word.node and f"node {word.node}", word.zone and f"zone {word.zone}", ",".join(
-        word.for_zones) and f"hinted for {', '.join(word.for_zones)}") if text]
+    places = [
+        text
+        for text in (
+            word.node and f"node {word.node}",
+            word.zone and f"zone {word.zone}",
+            ",".join(word.for_zones) and f"hinted for {', '.join(word.for_zones)}",
+        )
+        if text
+    ]
     return f"  {word.slice_name}, generation {word.generation}: {RANKS[word.rank]}" + (
-        f" ({'; '.join(places)})" if places else "")
+        f" ({'; '.join(places)})" if places else ""
+    )
 
 
 @click.group()
@@ -154,8 +202,10 @@
     found = wanted(merger, address)
     for verdict in found:
         host, port = verdict.address
-        print(f"{host}:{port} {verdict.identity}: {verdict.state.value}, by rule {verdict.rule}: "
-              f"{RULE_TEXTS[verdict.rule]}")
+        print(
+            f"{host}:{port} {verdict.identity}: {verdict.state.value}, by rule {verdict.rule}: "
+            f"{RULE_TEXTS[verdict.rule]}"
+        )
         for word in merger.words[verdict.identity].values():
             print(describe_word(word))
     if not found:
--- a/ryepier/emulator/apiserver.py
+++ b/ryepier/emulator/apiserver.py
@@ -27,8 +27,15 @@
     """A call that the API answers with a Status."""
 
     def __init__(self, code: int, reason: str, message: str) -> None:
-        self.status = {"kind": "Status", "apiVersion": "v1", "metadata": {}, "status": "Failure", "message": message,
-                       "reason": reason, "code": code}
+        self.status = {
+            "kind": "Status",
+            "apiVersion": "v1",
+            "metadata": {},
+            "status": "Failure",
+            "message": message,
+            "reason": reason,
+            "code": code,
+        }
         self.code = code
         super().__init__(message)
 
@@ -71,14 +78,24 @@
         old = self.objects.get((namespace, name))
         if old is None:
             self.last_uid += 1
-            metadata = {"name": name, "namespace": namespace, "uid": f"{name}-{self.last_uid:08x}", "generation": 1,
-                        "labels": labels or {}, "creationTimestamp": "2026-01-01T00:00:00Z"}
+            metadata = {
+                "name": name,
+                "namespace": namespace,
+                "uid": f"{name}-{self.last_uid:08x}",
+                "generation": 1,
+                "labels": labels or {},
+                "creationTimestamp": "2026-01-01T00:00:00Z",
+            }
         else:
             changed = any(old.get(key) != content.get(key) for key in ("endpoints", "ports"))
             metadata = old["metadata"] | {"generation": old["metadata"]["generation"] + changed}
         self.version += 1
-        new = {"kind": "EndpointSlice", "apiVersion": "discovery.k8s.io/v1",
-               "metadata": metadata | {"resourceVersion": str(self.version)}, **content}
+        new = {
+            "kind": "EndpointSlice",
+            "apiVersion": "discovery.k8s.io/v1",
+            "metadata": metadata | {"resourceVersion": str(self.version)},
+            **content,
+        }
         self.objects[namespace, name] = new
         self.events.append(Event(self.version, "MODIFIED" if old else "ADDED", new, namespace))
         return new
@@ -99,11 +116,14 @@
         if version < self.compacted:
             raise expired(f"too old resource version: {version} ({self.compacted})")
         # newest last and their versions without gaps: the first wanted is found by counting back
-        return self.events[len(self.events) - (self.version - version):] if version < self.version else []
+        return self.events[len(self.events) - (self.version - version) :] if version < self.version else []
 
     def select(self, namespace: str, wanted: dict[str, str]) -> list[Object]:
-        return [one for (space, _), one in sorted(self.objects.items())
-                if (not namespace or space == namespace) and matches(one, wanted)]
+        return [
+            one
+            for (space, _), one in sorted(self.objects.items())
+            if (not namespace or space == namespace) and matches(one, wanted)
+        ]
 
     def page(self, namespace: str, wanted: dict[str, str], limit: int, more: str) -> Object:
         """One page; the token for the next holds the version at which the list began, and the last name."""
@@ -119,8 +139,10 @@
         metadata: Object = {"resourceVersion": str(version)}
         if limit and len(found) > limit:
             token = json.dumps([version, found[limit - 1]["metadata"]["name"]])
-            metadata |= {"continue": base64.urlsafe_b64encode(token.encode()).decode(),
-                         "remainingItemCount": len(found) - limit}
+            metadata |= {
+                "continue": base64.urlsafe_b64encode(token.encode()).decode(),
+                "remainingItemCount": len(found) - limit,
+            }
             found = found[:limit]
         return {"kind": "EndpointSliceList", "apiVersion": "discovery.k8s.io/v1", "metadata": metadata, "items": found}
 
@@ -159,8 +181,7 @@
 class ApiServer:
     """One address of an API server. `changed` has to be called after a change of the store."""
 
-    def __init__(self, store: Store, token: str = "", written: Written | None = None,
-                 bookmark_s: float = 1.0) -> None:
+    def __init__(self, store: Store, token: str = "", written: Written | None = None, bookmark_s: float = 1.0) -> None:
         self.store = store
         self.token = token
         self.written = written or (lambda writer, found, whole: None)
@@ -244,8 +265,9 @@
         await self.write_json(writer, 200, page)
         self.written(writer, page["items"], True)
 
-    async def watch(self, namespace: str, wanted: dict[str, str], query: dict[str, str],
-                    writer: asyncio.StreamWriter) -> None:
+    async def watch(
+        self, namespace: str, wanted: dict[str, str], query: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
         """From a version on, or from what there is now, as ADDED; it ends when its time is out."""
         asked = query.get("resourceVersion", "")
         timeout_s = float(query.get("timeoutSeconds", "3600"))
@@ -275,9 +297,15 @@
                     await news.wait()
             except TimeoutError:
                 if watch.bookmarks and not self.faults.silent and not self.faults.no_bookmarks:
-                    await self.write_event(watch, "BOOKMARK", {
-                        "kind": "EndpointSlice", "apiVersion": "discovery.k8s.io/v1",
-                        "metadata": {"resourceVersion": str(watch.version), "creationTimestamp": None}})
+                    await self.write_event(
+                        watch,
+                        "BOOKMARK",
+                        {
+                            "kind": "EndpointSlice",
+                            "apiVersion": "discovery.k8s.io/v1",
+                            "metadata": {"resourceVersion": str(watch.version), "creationTimestamp": None},
+                        },
+                    )
         await self.write(writer, b"0\r\n\r\n")
 
     async def catch_up(self, watch: Watch) -> None:
@@ -289,7 +317,7 @@
     async def write_event(self, watch: Watch, kind: str, found: Object) -> None:
         line = json.dumps({"type": kind, "object": found}).encode() + b"\n"
         if self.faults.torn and kind != "BOOKMARK":
-            half = line[:len(line) // 2]
+            half = line[: len(line) // 2]
             await self.write(watch.writer, b"%x\r\n%s\r\n" % (len(half), half))
             watch.writer.transport.close()
             raise ConnectionResetError
@@ -305,7 +333,7 @@
     async def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         pieces = self.faults.pieces or len(data)
         for begin in range(0, len(data), pieces):
-            writer.write(data[begin:begin + pieces])
+            writer.write(data[begin : begin + pieces])
             await writer.drain()
             if self.faults.pieces:
                 await asyncio.sleep(self.faults.pause_s)
--- a/ryepier/emulator/clients.py
+++ b/ryepier/emulator/clients.py
@@ -144,8 +144,11 @@
             return
         item, now_us = flight.item, flight.host.clock.now_us()
         item.crossed = not self.heard and self.answered > 0
-        if item.crossed and not flight.again and may_retry(
-                flight.host.world.classes[item.request_class], "broken", item.sent_us, now_us):
+        if (
+            item.crossed
+            and not flight.again
+            and may_retry(flight.host.world.classes[item.request_class], "broken", item.sent_us, now_us)
+        ):
             # the close may have crossed the request, which then was never read: sent once more, on a new connection,
             # if it does no harm should it have been
             flight.again = True
@@ -189,7 +192,8 @@
         try:
             async with asyncio.timeout(self.item.deadline_us / 1e6):  # a client waits no longer for that than for all
                 await asyncio.get_running_loop().create_connection(
-                    lambda: Line(self.target, self), *self.target.address)
+                    lambda: Line(self.target, self), *self.target.address
+                )
         except OSError:  # TimeoutError is one
             self.end("unreachable")
 
@@ -284,11 +288,23 @@
         kind = self.world.classes[kind_index]
         ident = f"{self.plan.seed & 0xFFFF:04x}-{index:06x}-0"
         self.counts["offered"] += 1
-        self.send(Try(
-            first=index, number=0, ident=ident, key=f"k{index:x}" if kind.effect == "deduplicated" else "",
-            request_class=kind_index, tenant=int(drawn.tenant[index]), sidecar=place,
-            work_us=int(drawn.work_us[index]), planned_us=int(drawn.at_us[index]), sent_us=NEVER,
-            deadline_us=int(kind.deadline_ms * 1000 * drawn.patience[index]), ended_us=NEVER, ending="timeout"))
+        self.send(
+            Try(
+                first=index,
+                number=0,
+                ident=ident,
+                key=f"k{index:x}" if kind.effect == "deduplicated" else "",
+                request_class=kind_index,
+                tenant=int(drawn.tenant[index]),
+                sidecar=place,
+                work_us=int(drawn.work_us[index]),
+                planned_us=int(drawn.at_us[index]),
+                sent_us=NEVER,
+                deadline_us=int(kind.deadline_ms * 1000 * drawn.patience[index]),
+                ended_us=NEVER,
+                ending="timeout",
+            )
+        )
 
     def send(self, item: Try) -> None:
         self.records.tries.append(item)
@@ -316,10 +332,15 @@
         name = kind.name.encode()
         left_ms = max(1, (item.sent_us + item.deadline_us - self.clock.now_us()) // 1000)
         hint = int(self.arrivals.hint_us[item.first])
-        lines = [b"%s /%s/%d HTTP/1.1" % (b"GET" if kind.effect == "idempotent" else b"POST", name, item.first),
-                 b"Host: " + flight.target.host, b"X-Request-Id: " + item.ident.encode(), b"X-Class: " + name,
-                 b"X-Tenant: " + self.world.tenants[item.tenant].name.encode(), b"X-Deadline-Ms: %d" % left_ms,
-                 b"X-Work-Us: %d" % item.work_us]
+        lines = [
+            b"%s /%s/%d HTTP/1.1" % (b"GET" if kind.effect == "idempotent" else b"POST", name, item.first),
+            b"Host: " + flight.target.host,
+            b"X-Request-Id: " + item.ident.encode(),
+            b"X-Class: " + name,
+            b"X-Tenant: " + self.world.tenants[item.tenant].name.encode(),
+            b"X-Deadline-Ms: %d" % left_ms,
+            b"X-Work-Us: %d" % item.work_us,
+        ]
         if item.key:
             lines.append(b"Idempotency-Key: " + item.key.encode())
         if hint:
@@ -335,10 +356,16 @@
         item, kind = flight.item, self.world.classes[flight.item.request_class]
         left_ms = max(1, (item.sent_us + item.deadline_us - self.clock.now_us()) // 1000)
         method, target, body = graphql.request(
-            kind, item.first, item.ident, item.key, self.world.clients.graphql == "unique")
-        lines = [method + b" " + target + b" HTTP/1.1", b"Host: " + flight.target.host,
-                 b"X-Request-Id: " + item.ident.encode(), b"X-Deadline-Ms: %d" % left_ms,
-                 b"X-Tenant: " + self.world.tenants[item.tenant].name.encode(), b"X-Work-Us: %d" % item.work_us]
+            kind, item.first, item.ident, item.key, self.world.clients.graphql == "unique"
+        )
+        lines = [
+            method + b" " + target + b" HTTP/1.1",
+            b"Host: " + flight.target.host,
+            b"X-Request-Id: " + item.ident.encode(),
+            b"X-Deadline-Ms: %d" % left_ms,
+            b"X-Tenant: " + self.world.tenants[item.tenant].name.encode(),
+            b"X-Work-Us: %d" % item.work_us,
+        ]
         if body:
             lines += [b"Content-Type: application/json", b"Content-Length: %d" % len(body)]
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
@@ -374,8 +401,20 @@
         patient_us = int(kind.deadline_ms * 1000 * self.random.uniform(*self.world.clients.patience))
         number = old.number + 1
         self.counts["retries"] += 1
-        self.send(Try(
-            first=old.first, number=number, ident=f"{old.ident.rpartition('-')[0]}-{number}", key=old.key,
-            request_class=old.request_class, tenant=old.tenant, sidecar=old.sidecar, work_us=old.work_us,
-            planned_us=old.planned_us, sent_us=NEVER, deadline_us=min(patient_us, left_us), ended_us=NEVER,
-            ending="timeout"))
+        self.send(
+            Try(
+                first=old.first,
+                number=number,
+                ident=f"{old.ident.rpartition('-')[0]}-{number}",
+                key=old.key,
+                request_class=old.request_class,
+                tenant=old.tenant,
+                sidecar=old.sidecar,
+                work_us=old.work_us,
+                planned_us=old.planned_us,
+                sent_us=NEVER,
+                deadline_us=min(patient_us, left_us),
+                ended_us=NEVER,
+                ending="timeout",
+            )
+        )
--- a/ryepier/emulator/converters.py
+++ b/ryepier/emulator/converters.py
@@ -141,8 +141,13 @@
         self.instance = instance
         world = host.plan.world
         self.machine = machine.Converter(
-            instance.machine, world.warmth, world.reports, memory,
-            draws.stream(host.plan.seed, f"reports {instance.uid}"), instance.start_us)
+            instance.machine,
+            world.warmth,
+            world.reports,
+            memory,
+            draws.stream(host.plan.seed, f"reports {instance.uid}"),
+            instance.start_us,
+        )
         self.work_of = {kind.name.encode(): kind for kind in world.classes}
         self.fault = ""
         self.fault_share = 1.0
@@ -211,8 +216,9 @@
         self.last_token += 1
         self.open[self.last_token] = (line, attempt)
         memory_us = int(kind.memory_ms * 1000) if kind is not None else 0
-        self.carry_out(self.machine.arrived(now_us, machine.Work(
-            self.last_token, key if memory_us else "", work_us, memory_us)))
+        self.carry_out(
+            self.machine.arrived(now_us, machine.Work(self.last_token, key if memory_us else "", work_us, memory_us))
+        )
 
     # What goes out
 
@@ -253,7 +259,7 @@
             line.end_attempt("reset")
             line.abort()
         elif self.fault == "half-answer" and struck:
-            line.write(data[:-max(1, len(body) // 2)])
+            line.write(data[: -max(1, len(body) // 2)])
             line.end_attempt("reset")
             line.close()
         else:
--- a/ryepier/emulator/discovery.py
+++ b/ryepier/emulator/discovery.py
@@ -24,8 +24,16 @@
     host, port = plan.converter_address(instance.index)
     group = instance.machine.group
     boot_ms = unix_zero_ms + instance.start_us // 1000 if instance.start_us is not None else 0
-    return {"uid": instance.uid, "endpoint": f"{host}:{port}", "az": group.zone, "model": group.model,
-            "pod_group": instance.machine.pod, "state": state, "capacity_hint": 1.0, "boot_ms": boot_ms}
+    return {
+        "uid": instance.uid,
+        "endpoint": f"{host}:{port}",
+        "az": group.zone,
+        "model": group.model,
+        "pod_group": instance.machine.pod,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": boot_ms,
+    }
 
 
 def first_list(plan: Plan, timeline: Timeline) -> dict[str, Any]:
@@ -109,8 +117,9 @@
             await reader.read()
             raise ConnectionResetError
         body = json.dumps(self.registry.whole()).encode()
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)
-                     + body)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        )
         self.note(self.registry.whole())
 
     def tell(self, writer: asyncio.StreamWriter) -> None:
@@ -197,7 +206,8 @@
             await self.agents[step.index].take(step, entry)
             if step.verb is not Verb.TELL:
                 self.records.happenings.append(
-                    Happening(self.clock.now_us(), f"discovery of sidecar {step.index}: {step.verb.value}"))
+                    Happening(self.clock.now_us(), f"discovery of sidecar {step.index}: {step.verb.value}")
+                )
         await asyncio.sleep(max(0.0, (self.plan.end_us - self.clock.now_us()) / 1e6))
         beating.cancel()
         for agent in self.agents:
--- a/ryepier/emulator/draws.py
+++ b/ryepier/emulator/draws.py
@@ -144,8 +144,15 @@
             work_us[heavy & (chosen == _class_index(world, fault.request_class))] *= fault.factor
     error = 1.0 + world.clients.hint_error * (2.0 * random.random(count) - 1.0)
     hint_us = (work_us * error if world.clients.hints else np.zeros(count)).astype(np.int64)
-    return Arrivals(at_us, _sidecars(world, seed, at_us), chosen, tenant, work_us.astype(np.int64), hint_us,
-                    random.uniform(*world.clients.patience, count))
+    return Arrivals(
+        at_us,
+        _sidecars(world, seed, at_us),
+        chosen,
+        tenant,
+        work_us.astype(np.int64),
+        hint_us,
+        random.uniform(*world.clients.patience, count),
+    )
 
 
 def _class_index(world: World, name: str) -> int:
--- a/ryepier/emulator/graphql.py
+++ b/ryepier/emulator/graphql.py
@@ -73,8 +73,10 @@
     unsafe = next(kind.name for kind in world.classes if kind.effect == "at_most_once")
     text = f'[graphql]\npath = "{PATH}"\nqueries = "{asked}"\nmutations = "{unsafe}"\n'
     for kind in world.classes:
-        text += (f'[[graphql.fields]]\ntype = "{"query" if kind.effect == "idempotent" else "mutation"}"\n'
-                 f'name = "{field_name(kind.name)}"\nrequest_class = "{kind.name}"\n')
+        text += (
+            f'[[graphql.fields]]\ntype = "{"query" if kind.effect == "idempotent" else "mutation"}"\n'
+            f'name = "{field_name(kind.name)}"\nrequest_class = "{kind.name}"\n'
+        )
         if kind.effect == "deduplicated":
             text += 'key = "key"\n'
     return text
--- a/ryepier/emulator/machine.py
+++ b/ryepier/emulator/machine.py
@@ -91,8 +91,15 @@
 class Converter:
     """One process life of a converter."""
 
-    def __init__(self, drawn: Drawn, warmth: Warmth, reports: Reports, memory: PodMemory, random: np.random.Generator,
-                 started_us: int | None) -> None:
+    def __init__(
+        self,
+        drawn: Drawn,
+        warmth: Warmth,
+        reports: Reports,
+        memory: PodMemory,
+        random: np.random.Generator,
+        started_us: int | None,
+    ) -> None:
         self.drawn = drawn
         self.warmth = warmth
         self.reports = reports
@@ -219,8 +226,11 @@
             low, high = self.reports.refresh_ms
             self.report_until_us = now_us + int(1000 * self.random.uniform(low, high))
             running, waiting = len(self.running), len(self.waiting)
-            values = {"inflight": f"{running + waiting}", "queue": f"{waiting}",
-                      "util": f"{running / self.drawn.group.cores:.2f}"}
+            values = {
+                "inflight": f"{running + waiting}",
+                "queue": f"{waiting}",
+                "util": f"{running / self.drawn.group.cores:.2f}",
+            }
             self.report_text = ",".join(f"{name}={values[name]}" for name in self.reports.names)
         return self.report_text
 
--- a/ryepier/emulator/process.py
+++ b/ryepier/emulator/process.py
@@ -95,8 +95,14 @@
 
     def result(self, role: str) -> Lateness:
         at = self.histogram.get_value_at_percentile
-        return Lateness(role, int(self.histogram.get_total_count()), int(at(50)), int(at(99.9)),
-                        max(self.most_by_second_us, default=0), self.most_by_second_us)
+        return Lateness(
+            role,
+            int(self.histogram.get_total_count()),
+            int(at(50)),
+            int(at(99.9)),
+            max(self.most_by_second_us, default=0),
+            self.most_by_second_us,
+        )
 
 
 def say(message: dict[str, object]) -> None:
--- a/ryepier/emulator/records.py
+++ b/ryepier/emulator/records.py
@@ -85,9 +85,13 @@
     def moved(self, zero_us: int) -> Life:
         """The same, counted from `zero_us`."""
         return msgspec.structs.replace(
-            self, begun_us=self.begun_us - zero_us, up_us=self.up_us - zero_us, ended_us=self.ended_us - zero_us,
+            self,
+            begun_us=self.begun_us - zero_us,
+            up_us=self.up_us - zero_us,
+            ended_us=self.ended_us - zero_us,
             samples=[(at_us - zero_us, cpu_us, kib) for at_us, cpu_us, kib in self.samples],
-            stalls=[(begun_us - zero_us, ended_us - zero_us) for begun_us, ended_us in self.stalls])
+            stalls=[(begun_us - zero_us, ended_us - zero_us) for begun_us, ended_us in self.stalls],
+        )
 
     def stalled(self, begin_us: int, end_us: int) -> bool:
         """Whether it stood still at any moment between the two."""
--- a/ryepier/emulator/rig.py
+++ b/ryepier/emulator/rig.py
@@ -97,8 +97,9 @@
 class Rig:
     """One run."""
 
-    def __init__(self, world: World, seed: int, folder: Path, cast: Cast | None = None,
-                 watcher: Watcher | None = None) -> None:
+    def __init__(
+        self, world: World, seed: int, folder: Path, cast: Cast | None = None, watcher: Watcher | None = None
+    ) -> None:
         self.world = world
         self.folder = folder
         self.cast = cast or Cast()
@@ -168,8 +169,15 @@
             records = self.folder / f"{role}-{index}.records"
             records.unlink(missing_ok=True)  # of an earlier run
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-B", "-m", "ryepier.emulator.role", str(path), str(records),
-                stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+                sys.executable,
+                "-B",
+                "-m",
+                "ryepier.emulator.role",
+                str(path),
+                str(records),
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+            )
             self.roles.append(Role(f"{role} {index}", process, records))
         for started in self.roles:
             assert started.process.stdout is not None
@@ -191,14 +199,16 @@
             snapshots = self.folder / f"planner-{index}"
             shutil.rmtree(snapshots, ignore_errors=True)
             snapshots.mkdir()
-            (self.folder / f"planner-{index}.toml").write_text(files.planner_text(
-                self.plan, index, snapshots if self.world.planners.snapshots else None))
+            (self.folder / f"planner-{index}.toml").write_text(
+                files.planner_text(self.plan, index, snapshots if self.world.planners.snapshots else None)
+            )
             self.planners.append(self.start_planner(index, self.cast.planner_command))
 
     def start_planner(self, index: int, command: Sequence[str]) -> subprocess.Popen[bytes]:
         with open(self.folder / f"planner-{index}.log", "ab") as log:
-            return subprocess.Popen([*command, "--config", str(self.folder / f"planner-{index}.toml")],
-                                    stdout=log, stderr=log)
+            return subprocess.Popen(
+                [*command, "--config", str(self.folder / f"planner-{index}.toml")], stdout=log, stderr=log
+            )
 
     def start_sidecar(self, sidecar: Sidecar) -> None:
         with open(sidecar.log, "ab") as log:
@@ -268,8 +278,7 @@
         """Those that are done to sidecars and planners."""
         for step in [step for step in self.timeline.steps if step.who in (Who.SIDECAR, Who.PLANNER)]:
             await asyncio.sleep(max(0.0, (step.at_us - self.clock.now_us()) / 1e6))
-            self.happenings.append(
-                Happening(self.clock.now_us(), f"{step.who.value} {step.index}: {step.verb.value}"))
+            self.happenings.append(Happening(self.clock.now_us(), f"{step.who.value} {step.index}: {step.verb.value}"))
             if step.who is Who.PLANNER:
                 self.step_planner(step)
             elif self.sidecar_command:
--- a/ryepier/emulator/role.py
+++ b/ryepier/emulator/role.py
@@ -31,7 +31,9 @@
 
 
 ROLES: dict[str, Callable[[Plan, Clock, timeline.Timeline], Part]] = {
-    "clients": clients.Host, "converters": converters.Host, "discovery": discovery.Host,
+    "clients": clients.Host,
+    "converters": converters.Host,
+    "discovery": discovery.Host,
 }
 
 
--- a/ryepier/emulator/simulated.py
+++ b/ryepier/emulator/simulated.py
@@ -51,8 +51,9 @@
         if not owner:
             return
         if record.exc_info is not None and record.exc_info[0] is not None:
-            self.loop.failures.append(f"{self.loop.now_s:.6f} s: {owner}: {record.getMessage()}: "
-                                      f"{record.exc_info[1]!r}")
+            self.loop.failures.append(
+                f"{self.loop.now_s:.6f} s: {owner}: {record.getMessage()}: {record.exc_info[1]!r}"
+            )
         if self.folder is not None:
             record.created = system.unix_ns() / 1e9
             name = owner.partition(",")[0].replace(" ", "-")
@@ -207,8 +208,11 @@
         built = timeline.build(self.world, self.seed)
         clock = Clock()
         # all converters are in this one process, whatever the world says of the rig
-        hosts: list[Part] = [discovery.Host(plan, clock, built), converters.Host(plan, clock, built, simulated=True),
-                             clients.Host(plan, clock, built, simulated=True)]
+        hosts: list[Part] = [
+            discovery.Host(plan, clock, built),
+            converters.Host(plan, clock, built, simulated=True),
+            clients.Host(plan, clock, built, simulated=True),
+        ]
         for host in hosts:
             await host.start()
         planners, sidecars = self.planners(loop, plan), self.sidecars(loop, plan, built)
@@ -219,8 +223,9 @@
         clock.zero_us = monotonic_us() + int(BEGIN_AFTER_S * 1e6)
         ticking = [asyncio.create_task(host.meter.tick()) for host in hosts]
         happenings: list[Happening] = []
-        stepping = asyncio.create_task(self.steps(
-            built, {Who.SIDECAR: sidecars, Who.PLANNER: planners}, clock, happenings))
+        stepping = asyncio.create_task(
+            self.steps(built, {Who.SIDECAR: sidecars, Who.PLANNER: planners}, clock, happenings)
+        )
         records = await asyncio.gather(*(host.run() for host in hosts))
         await stepping
         for task in ticking:
@@ -238,8 +243,9 @@
         lives = [life for one in sidecars for life in one.lives_from(clock.zero_us)]
         return join(list(records), lives, happenings)
 
-    async def steps(self, built: timeline.Timeline, processes: dict[Who, list[Any]], clock: Clock,
-                    happenings: list[Happening]) -> None:
+    async def steps(
+        self, built: timeline.Timeline, processes: dict[Who, list[Any]], clock: Clock, happenings: list[Happening]
+    ) -> None:
         """Those that are done to sidecars and planners."""
         for step in built.steps:
             if step.who in processes:
--- a/ryepier/emulator/slices.py
+++ b/ryepier/emulator/slices.py
@@ -30,10 +30,13 @@
 def endpoint(entry: dict[str, Any]) -> Object:
     """An endpoint out of discovery's entry."""
     leaving = entry["state"] == "leaving"
-    return {"addresses": [entry["endpoint"].rpartition(":")[0]],
-            "conditions": {"ready": not leaving, "serving": True, "terminating": leaving},
-            "targetRef": {"kind": "Pod", "namespace": NAMESPACE, "name": entry["uid"], "uid": entry["uid"]},
-            "nodeName": f"node-{entry['pod_group']}", "zone": entry["az"]}
+    return {
+        "addresses": [entry["endpoint"].rpartition(":")[0]],
+        "conditions": {"ready": not leaving, "serving": True, "terminating": leaving},
+        "targetRef": {"kind": "Pod", "namespace": NAMESPACE, "name": entry["uid"], "uid": entry["uid"]},
+        "nodeName": f"node-{entry['pod_group']}",
+        "zone": entry["az"],
+    }
 
 
 class Cluster:
@@ -139,8 +142,9 @@
         for one in found:
             version = int(one["metadata"]["resourceVersion"])
             told |= {uid: "left" for uid, at in self.cluster.left.items() if whole or at == version}
-            told |= {each["targetRef"]["uid"]: "leaving" for each in one["endpoints"]
-                     if each["conditions"]["terminating"]}
+            told |= {
+                each["targetRef"]["uid"]: "leaving" for each in one["endpoints"] if each["conditions"]["terminating"]
+            }
         self.host.records.told += [Told(self.sidecar, uid, state, now_us) for uid, state in told.items()]
 
     def heartbeat(self) -> None:
--- a/ryepier/emulator/timeline.py
+++ b/ryepier/emulator/timeline.py
@@ -160,8 +160,9 @@
         """Each sidecar's agent hears of it at a time of its own."""
         for sidecar in range(self.world.sidecars.count):
             late_us = int(self.notices.uniform(*self.world.discovery.late_ms) * 1000)
-            self.steps.append(Step(since_us + late_us, Who.DISCOVERY, sidecar, Verb.TELL, fault.kind,
-                                   uid=instance.uid, state=state))
+            self.steps.append(
+                Step(since_us + late_us, Who.DISCOVERY, sidecar, Verb.TELL, fault.kind, uid=instance.uid, state=state)
+            )
 
     def kill(self, fault: Fault, who: Who, count: int) -> None:
         for index in draws.struck(count, fault, self.random):
@@ -169,8 +170,11 @@
             self.step(us(fault.at_s + fault.down_s), who, index, Verb.RESTART, fault)
 
     def strike_discovery(self, fault: Fault) -> None:
-        verbs = {"discovery-down": (Verb.DOWN, Verb.UP), "discovery-silent": (Verb.SILENCE, Verb.SPEAK),
-                 "watch-break": (Verb.BREAK, None)}[fault.kind]
+        verbs = {
+            "discovery-down": (Verb.DOWN, Verb.UP),
+            "discovery-silent": (Verb.SILENCE, Verb.SPEAK),
+            "watch-break": (Verb.BREAK, None),
+        }[fault.kind]
         for index in draws.struck(max(1, self.world.sidecars.count), fault, self.random):
             self.step(us(fault.at_s), Who.DISCOVERY, index, verbs[0], fault)
             if verbs[1] is not None:
--- a/ryepier/emulator/world.py
+++ b/ryepier/emulator/world.py
@@ -160,9 +160,29 @@
 
 
 FaultKind = Literal[
-    "hang", "refuse", "reset-before", "reset-after", "half-answer", "slow", "cut", "release", "sidecar-kill",
-    "discovery-down", "discovery-silent", "watch-break", "surge", "tenant-surge", "hot-sidecar", "heavy-tail",
-    "planner-kill", "planner-hang", "sidecar-hang", "turn-away", "clock-jump", "clock-drift"]
+    "hang",
+    "refuse",
+    "reset-before",
+    "reset-after",
+    "half-answer",
+    "slow",
+    "cut",
+    "release",
+    "sidecar-kill",
+    "discovery-down",
+    "discovery-silent",
+    "watch-break",
+    "surge",
+    "tenant-surge",
+    "hot-sidecar",
+    "heavy-tail",
+    "planner-kill",
+    "planner-hang",
+    "sidecar-hang",
+    "turn-away",
+    "clock-jump",
+    "clock-drift",
+]
 SIDECARS_FAULTS = frozenset(("sidecar-kill", "sidecar-hang", "hot-sidecar", "clock-jump", "clock-drift"))
 SIMULATED_FAULTS = frozenset(("clock-jump", "clock-drift"))  # a machine's clock is not ours to set
 
@@ -217,8 +237,10 @@
         for names in ([c.name for c in self.classes], [t.name for t in self.tenants]):
             if len(set(names)) < len(names):
                 raise ValueError(f"expected names that differ, got {names}")
-        for shares, whose in (([c.share for c in self.classes], "classes"), ([t.share for t in self.tenants],
-                                                                             "tenants")):
+        for shares, whose in (
+            ([c.share for c in self.classes], "classes"),
+            ([t.share for t in self.tenants], "tenants"),
+        ):
             if abs(sum(shares) - 1.0) > 0.01:
                 raise ValueError(f"the shares of {whose}: expected a sum of 1, got {sum(shares):.3f}")
         most = max(self.clients.rate_per_s, self.clients.ramp_to_per_s) * self.duration_s
--- a/ryepier/experiments/capacity.py
+++ b/ryepier/experiments/capacity.py
@@ -129,12 +129,17 @@
 
 def on_line(template: str, at: Callable[[Plan], float], times: float = 1.0, plus: str = "") -> Work:
     """By the line through a figure at several sizes, times a factor, plus another figure."""
+
     def work(figures: Mapping[str, float], plan: Plan) -> Value:
         points, size = family(figures, template), at(plan)
         slope = slopes.fit(list(points), list(points.values()))
         estimate = slope.at(size)
-        return Value(estimate.value * times + (figures[plus] if plus else 0.0), slope.per_unit * size * times, slope,
-                     estimate.extrapolated)
+        return Value(
+            estimate.value * times + (figures[plus] if plus else 0.0),
+            slope.per_unit * size * times,
+            slope,
+            estimate.extrapolated,
+        )
 
     return work
 
@@ -151,12 +156,17 @@
 
 def over_the_day(idle: str, change: str, times: float, at: Callable[[Plan], float]) -> Work:
     """What stands idle, and a day's changes by the line through the cost of one."""
+
     def work(figures: Mapping[str, float], plan: Plan) -> Value:
         points, size = family(figures, change), at(plan)
         slope = slopes.fit(list(points), list(points.values()))
         estimate, each = slope.at(size), plan.list_changes_per_s * times
-        return Value(level(idle)(figures, plan).at_size + each * estimate.value, each * slope.per_unit * size, slope,
-                     estimate.extrapolated)
+        return Value(
+            level(idle)(figures, plan).at_size + each * estimate.value,
+            each * slope.per_unit * size,
+            slope,
+            estimate.extrapolated,
+        )
 
     return work
 
@@ -245,11 +255,18 @@
     fitted = [one.slope for one in values if one.slope is not None and row.slope_unit]
     budget = row.budget(plan) if row.budget is not None else None
     share = value.median / budget if budget is not None else None
-    return Line(row, "over" if share is not None and share > 1 else "carried", value,
-                slopes.spread([one.per_unit * row.slope_times for one in fitted]) if fitted else None, fitted, share,
-                breaking_share(values, value.median, budget) if budget is not None else None,
-                any(one.extrapolated for one in values), tuple(sorted(one.seed for one in results)),
-                max(one.date for one in results))
+    return Line(
+        row,
+        "over" if share is not None and share > 1 else "carried",
+        value,
+        slopes.spread([one.per_unit * row.slope_times for one in fitted]) if fitted else None,
+        fitted,
+        share,
+        breaking_share(values, value.median, budget) if budget is not None else None,
+        any(one.extrapolated for one in values),
+        tuple(sorted(one.seed for one in results)),
+        max(one.date for one in results),
+    )
 
 
 def work_out(rows: Sequence[Row], kept: Sequence[Kept], plan: Plan) -> list[Line]:
@@ -259,8 +276,10 @@
 def breaks(lines: Sequence[Line]) -> list[Line]:
     """What breaks first, in order: what no mechanism carries, then by the share of the size at which it does."""
     missing = [line for line in lines if line.standing == "missing"]
-    grown = sorted((line for line in lines if line.breaks_at is not None), key=lambda line: (
-        line.breaks_at or 0.0, -(line.share or 0.0)))
+    grown = sorted(
+        (line for line in lines if line.breaks_at is not None),
+        key=lambda line: (line.breaks_at or 0.0, -(line.share or 0.0)),
+    )
     return (missing + grown)[:MOST_BREAKS]
 
 
@@ -286,8 +305,10 @@
 def holds(fitted: Sequence[Slope]) -> str:
     """The sizes that lines hold for, and how far what was measured lies from them, at most."""
     sizes = {(number(one.from_size), number(one.to_size)) for one in fitted}
-    return (", ".join(f"{low} to {high}" for low, high in sorted(sizes))
-            + f", off by {100 * max(one.relative_residual for one in fitted):.2g}%")
+    return (
+        ", ".join(f"{low} to {high}" for low, high in sorted(sizes))
+        + f", off by {100 * max(one.relative_residual for one in fitted):.2g}%"
+    )
 
 
 def cells(line: Line) -> list[str]:
@@ -302,8 +323,16 @@
     return [row.what, line.standing, value, share, slope, row.mechanism, f"{row.experiment}, {seeds}, {line.date}"]
 
 
-HEADER = ("role", "what", "standing", "at the size", "of budget", "slope; sizes measured", "carried by",
-          "experiment, seeds, date")
+HEADER = (
+    "role",
+    "what",
+    "standing",
+    "at the size",
+    "of budget",
+    "slope; sizes measured",
+    "carried by",
+    "experiment, seeds, date",
+)
 
 
 def table(header: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
@@ -313,8 +342,13 @@
 def roles(lines: Sequence[Line]) -> str:
     """One table, in the order of the rows; a role is named where it begins."""
     names = ["", *(line.row.role for line in lines)]
-    return table(HEADER, [[f"**{line.row.role}**" if line.row.role != before else "", *cells(line)]
-                          for before, line in zip(names, lines, strict=False)])
+    return table(
+        HEADER,
+        [
+            [f"**{line.row.role}**" if line.row.role != before else "", *cells(line)]
+            for before, line in zip(names, lines, strict=False)
+        ],
+    )
 
 
 def broken(lines: Sequence[Line]) -> str:
@@ -322,8 +356,13 @@
     found = []
     for place, line in enumerate(breaks(lines), 1):
         share = line.breaks_at or 0.0
-        at = (f"at {number(share)} times the size" if share > 1 else f"at {number(100 * share)}% of the size"
-              if share else "at any size")
+        at = (
+            f"at {number(share)} times the size"
+            if share > 1
+            else f"at {number(100 * share)}% of the size"
+            if share
+            else "at any size"
+        )
         used = f"{number(100 * (line.share or 0.0))}% of its budget"
         why = "nothing carries it" if line.standing == "missing" else used
         found.append(f"{place}. {line.row.role}, {line.row.what}: {at} ({why})")
@@ -335,11 +374,17 @@
     said = []
     for name in dict.fromkeys(result.name for result in kept):
         mine = [result for result in kept if result.name == name]
-        failed = [f"seed {one.seed}: {claim['name']} ({number(float(str(claim['value'])))})"
-                  for one in mine for claim in one.claims if not claim["holds"]]
-        said.append(f"{name} ({', '.join(dict.fromkeys(one.scale for one in mine))}, "
-                    f"{mine[0].versions['cores']} shared cores): "
-                    + ("every claim holds" if not failed else "fails " + "; ".join(failed)))
+        failed = [
+            f"seed {one.seed}: {claim['name']} ({number(float(str(claim['value'])))})"
+            for one in mine
+            for claim in one.claims
+            if not claim["holds"]
+        ]
+        said.append(
+            f"{name} ({', '.join(dict.fromkeys(one.scale for one in mine))}, "
+            f"{mine[0].versions['cores']} shared cores): "
+            + ("every claim holds" if not failed else "fails " + "; ".join(failed))
+        )
     return "Kept results: " + "; ".join(said) + "." if said else "No result is kept."
 
 
@@ -351,10 +396,18 @@
 
 def as_objects(lines: Sequence[Line]) -> list[dict[str, object]]:
     """For programs."""
-    return [{"role": line.row.role, "what": line.row.what, "unit": line.row.unit, "mechanism": line.row.mechanism,
-             "experiment": line.row.experiment, "note": line.row.note}
-            | {name: msgspec.to_builtins(getattr(line, name)) for name in Line.__struct_fields__ if name != "row"}
-            for line in lines]
+    return [
+        {
+            "role": line.row.role,
+            "what": line.row.what,
+            "unit": line.row.unit,
+            "mechanism": line.row.mechanism,
+            "experiment": line.row.experiment,
+            "note": line.row.note,
+        }
+        | {name: msgspec.to_builtins(getattr(line, name)) for name in Line.__struct_fields__ if name != "row"}
+        for line in lines
+    ]
 
 
 def put_in(page: str, made: Mapping[str, str]) -> str:
--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -40,13 +40,16 @@
         return world
     replace = msgspec.structs.replace
     return replace(
-        world, duration_s=world.duration_s * FULL_LENGTH,
+        world,
+        duration_s=world.duration_s * FULL_LENGTH,
         converters=[replace(group, count=group.count * FULL_FLEET) for group in world.converters],
         sidecars=replace(world.sidecars, count=world.sidecars.count * FULL_FLEET),
         clients=replace(world.clients, rate_per_s=world.clients.rate_per_s * FULL_FLEET),
-        faults=[replace(fault, at_s=fault.at_s * FULL_LENGTH, for_s=fault.for_s * FULL_LENGTH)
-                for fault in world.faults],
-        rig=replace(world.rig, client_processes=2, converter_processes=3))
+        faults=[
+            replace(fault, at_s=fault.at_s * FULL_LENGTH, for_s=fault.for_s * FULL_LENGTH) for fault in world.faults
+        ],
+        rig=replace(world.rig, client_processes=2, converter_processes=3),
+    )
 
 
 def _fault(world: World, kind: str) -> Fault:
@@ -97,10 +100,18 @@
     to_hung, to_all = figures.attempts_between(run.history.attempts, _hung(run), middle_s, end_s)
     return [
         Claim("share of attempts to hung converters, second half", to_hung / max(1, to_all), "<=", 0.03),
-        Claim("service in the second half of the hang", figures.service(run.orders, figures.between(middle_s, end_s)),
-              ">=", 0.90),
-        Claim("service from 2 s after the hang",
-              figures.service(run.orders, figures.between(end_s + 2.0, run.world.duration_s)), ">=", 0.95),
+        Claim(
+            "service in the second half of the hang",
+            figures.service(run.orders, figures.between(middle_s, end_s)),
+            ">=",
+            0.90,
+        ),
+        Claim(
+            "service from 2 s after the hang",
+            figures.service(run.orders, figures.between(end_s + 2.0, run.world.duration_s)),
+            ">=",
+            0.95,
+        ),
     ]
 
 
@@ -113,8 +124,12 @@
     return [
         Claim("service before the surge", figures.service(run.orders, figures.between(0.5, fault.at_s)), ">=", 0.97),
         Claim("service during the surge", figures.service(run.orders, figures.between(fault.at_s, end_s)), ">=", 0.55),
-        Claim("service from 2 s after the surge",
-              figures.service(run.orders, figures.between(end_s + 2.0, run.world.duration_s)), ">=", 0.95),
+        Claim(
+            "service from 2 s after the surge",
+            figures.service(run.orders, figures.between(end_s + 2.0, run.world.duration_s)),
+            ">=",
+            0.95,
+        ),
         Claim("share of refusals with Retry-After", figures.advised(run.history.tries), ">=", 0.99),
     ]
 
@@ -132,10 +147,18 @@
         Claim("sidecars killed", len(killed), ">=", 1),
         Claim("sidecars started again", len(back), "==", len(killed)),
         Claim("time to come up (s)", up_s, "<=", 2.0),
-        Claim("service of the others' clients",
-              figures.service(run.orders, lambda item: item.sidecar not in killed), ">=", 0.97),
-        Claim("service of its own clients, 2 s after its start",
-              figures.service(run.orders, lambda item: item.sidecar in killed and after(item)), ">=", 0.97),
+        Claim(
+            "service of the others' clients",
+            figures.service(run.orders, lambda item: item.sidecar not in killed),
+            ">=",
+            0.97,
+        ),
+        Claim(
+            "service of its own clients, 2 s after its start",
+            figures.service(run.orders, lambda item: item.sidecar in killed and after(item)),
+            ">=",
+            0.97,
+        ),
     ]
 
 
@@ -173,8 +196,12 @@
 def _breaking_figures(run: Run) -> Mapping[str, float]:
     per_s, until_s = breaking_point(run)
     rate = draws.offered_per_s(run.world, np.array([int(until_s * 1e6)], dtype=np.int64))[0]
-    return {"breaking_point_per_s": per_s, "breaking_point_at_s": until_s, "planned_rate_there_per_s": float(rate),
-            "cpu_us_a_request": cpu_us_a_request(run, 1.0, until_s)}
+    return {
+        "breaking_point_per_s": per_s,
+        "breaking_point_at_s": until_s,
+        "planned_rate_there_per_s": float(rate),
+        "cpu_us_a_request": cpu_us_a_request(run, 1.0, until_s),
+    }
 
 
 def _breaking_claims(run: Run) -> list[Claim]:
@@ -182,15 +209,28 @@
     return [
         Claim("requests a second for one sidecar core", per_s, ">=", 2000),
         Claim("CPU a request up to there (us)", cpu_us_a_request(run, 1.0, until_s), "<=", 450),
-        Claim("breaches of answers in time before it", sum(
-            breach.at_us < until_s * 1e6 for breach in run.breaches if breach.rule in ("unanswered", "broken")),
-            "==", 0),
+        Claim(
+            "breaches of answers in time before it",
+            sum(breach.at_us < until_s * 1e6 for breach in run.breaches if breach.rule in ("unanswered", "broken")),
+            "==",
+            0,
+        ),
     ]
 
 
 # Past the point where its core is full a sidecar can't answer in time; all other rules hold there too.
-_SAFE_RULES = ("second-answer", "forged", "invented", "run-twice", "refused-after-run", "unsafe-resend", "together",
-               "drain", "cold", "crash")
+_SAFE_RULES = (
+    "second-answer",
+    "forged",
+    "invented",
+    "run-twice",
+    "refused-after-run",
+    "unsafe-resend",
+    "together",
+    "drain",
+    "cold",
+    "crash",
+)
 
 
 # ceiling: the emulator alone, so that nobody measures the rig
@@ -205,31 +245,90 @@
     return [Claim("requests served a second without a sidecar", _ceiling_figures(run)["served_per_s"], ">=", 5000)]
 
 
-EXPERIMENTS: dict[str, Experiment] = {experiment.name: experiment for experiment in (
-    Experiment("steady", "a fleet in which nothing goes wrong", lambda scale: scaled(load("steady"), scale),
-               _steady_claims, ("twice", "lose")),
-    Experiment("release", "all converters are replaced in turn while watches break",
-               lambda scale: scaled(load("release"), scale), _release_claims, ("deaf", "crowd")),
-    Experiment("hang", "a sixth of the converters takes requests and answers none",
-               lambda scale: scaled(load("hang"), scale), _hang_claims, ("blind",)),
-    Experiment("surge", "2.3 times the traffic for 9.6 s, more than the fleet can do",
-               lambda scale: scaled(load("surge"), scale), _surge_claims, ("hold", "no-advice")),
-    Experiment("sidecar-kill", "a sidecar is killed and started again",
-               lambda scale: scaled(load("sidecar-kill"), scale), _kill_claims, ("late-start",)),
-    Experiment("breaking-point", "load raised until one sidecar's core is not enough",
-               lambda scale: load("breaking-point") if scale == "small" else msgspec.structs.replace(
-                   load("breaking-point"), duration_s=load("breaking-point").duration_s * FULL_LENGTH),
-               _breaking_claims, ("spin",), _breaking_figures, _SAFE_RULES,
-               measured_until=lambda run: breaking_point(run)[1], measures_cpu=True),
-    Experiment("ceiling", "what the emulator offers and serves by itself, on four cores",
-               lambda scale: load("ceiling"), _ceiling_claims, (), _ceiling_figures,
-               ("invented", "forged", "run-twice"), cores=4, measures_cpu=True),
-    *planning.EXPERIMENTS,
-    *slicing.EXPERIMENTS,
-    *graphql_front.EXPERIMENTS,
-    *storms.EXPERIMENTS,
-)}
-MEASURED: dict[str, Measured] = {one.name: one for one in (
-    *scale_call.EXPERIMENTS, *scale_control.EXPERIMENTS, *scale_depth.EXPERIMENTS,
-    *planner_scale.EXPERIMENTS, *planner_reconnect.EXPERIMENTS, *slicing.MEASURED, *graphql_front.MEASURED,
-    *simulation.EXPERIMENTS, *scale_list.EXPERIMENTS, *scale_fail.EXPERIMENTS)}
+EXPERIMENTS: dict[str, Experiment] = {
+    experiment.name: experiment
+    for experiment in (
+        Experiment(
+            "steady",
+            "a fleet in which nothing goes wrong",
+            lambda scale: scaled(load("steady"), scale),
+            _steady_claims,
+            ("twice", "lose"),
+        ),
+        Experiment(
+            "release",
+            "all converters are replaced in turn while watches break",
+            lambda scale: scaled(load("release"), scale),
+            _release_claims,
+            ("deaf", "crowd"),
+        ),
+        Experiment(
+            "hang",
+            "a sixth of the converters takes requests and answers none",
+            lambda scale: scaled(load("hang"), scale),
+            _hang_claims,
+            ("blind",),
+        ),
+        Experiment(
+            "surge",
+            "2.3 times the traffic for 9.6 s, more than the fleet can do",
+            lambda scale: scaled(load("surge"), scale),
+            _surge_claims,
+            ("hold", "no-advice"),
+        ),
+        Experiment(
+            "sidecar-kill",
+            "a sidecar is killed and started again",
+            lambda scale: scaled(load("sidecar-kill"), scale),
+            _kill_claims,
+            ("late-start",),
+        ),
+        Experiment(
+            "breaking-point",
+            "load raised until one sidecar's core is not enough",
+            lambda scale: (
+                load("breaking-point")
+                if scale == "small"
+                else msgspec.structs.replace(
+                    load("breaking-point"), duration_s=load("breaking-point").duration_s * FULL_LENGTH
+                )
+            ),
+            _breaking_claims,
+            ("spin",),
+            _breaking_figures,
+            _SAFE_RULES,
+            measured_until=lambda run: breaking_point(run)[1],
+            measures_cpu=True,
+        ),
+        Experiment(
+            "ceiling",
+            "what the emulator offers and serves by itself, on four cores",
+            lambda scale: load("ceiling"),
+            _ceiling_claims,
+            (),
+            _ceiling_figures,
+            ("invented", "forged", "run-twice"),
+            cores=4,
+            measures_cpu=True,
+        ),
+        *planning.EXPERIMENTS,
+        *slicing.EXPERIMENTS,
+        *graphql_front.EXPERIMENTS,
+        *storms.EXPERIMENTS,
+    )
+}
+MEASURED: dict[str, Measured] = {
+    one.name: one
+    for one in (
+        *scale_call.EXPERIMENTS,
+        *scale_control.EXPERIMENTS,
+        *scale_depth.EXPERIMENTS,
+        *planner_scale.EXPERIMENTS,
+        *planner_reconnect.EXPERIMENTS,
+        *slicing.MEASURED,
+        *graphql_front.MEASURED,
+        *simulation.EXPERIMENTS,
+        *scale_list.EXPERIMENTS,
+        *scale_fail.EXPERIMENTS,
+    )
+}
--- a/ryepier/experiments/chains.py
+++ b/ryepier/experiments/chains.py
@@ -120,15 +120,23 @@
         settings = api.Settings([kind], instances=chain.instances, max_attempts=4, max_retry_after_us=500_000)
         self.host = Host(settings, seed, self, world.clock)
         entries = [api.Upstream(number + 1) for number in range(chain.instances)]
-        self.host.list_changed(api.UpstreamsUpdated(api.ListKind.FULL, entries, 1),
-                               {entry.id: ("0.0.0.0", entry.id) for entry in entries})
+        self.host.list_changed(
+            api.UpstreamsUpdated(api.ListKind.FULL, entries, 1), {entry.id: ("0.0.0.0", entry.id) for entry in entries}
+        )
 
     def call(self, deadline_us: int, reply: Callable[[Answer], None]) -> None:
         self.world.seen.first[self.hop] += 1
         self.host.arrived(Call(b"GET", b"/work", [], b"", self.world.clock.now_us, deadline_us, 0), reply)
 
-    def start(self, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
-              ended: Callable[[Result], None], latest_us: int = 0) -> Flight:
+    def start(
+        self,
+        upstream: int,
+        address: tuple[str, int],
+        call: Call,
+        timeout_us: int,
+        ended: Callable[[Result], None],
+        latest_us: int = 0,
+    ) -> Flight:
         flight = Flight(ended)
         self.world.clock.after_us(NEAR_US, self.world.arrive, self.hop, upstream - 1, timeout_us, flight)
         return flight
@@ -149,8 +157,10 @@
 
     def build(self) -> None:
         seeds = Random(self.chain.seed + 1)
-        self.callers = [[Caller(self, hop, seeds.getrandbits(64)) for _ in range(self.chain.instances)]
-                        for hop in range(self.chain.depth)]
+        self.callers = [
+            [Caller(self, hop, seeds.getrandbits(64)) for _ in range(self.chain.instances)]
+            for hop in range(self.chain.depth)
+        ]
 
     def arrive(self, hop: int, instance: int, timeout_us: int, flight: Flight) -> None:
         """An attempt has reached an instance of the service that this hop calls."""
--- a/ryepier/experiments/churn_follower.py
+++ b/ryepier/experiments/churn_follower.py
@@ -50,8 +50,17 @@
     begun_s = time.process_time()
     await asyncio.get_running_loop().run_in_executor(None, sys.stdin.readline)
     source.stop()
-    print(json.dumps({"heard": heard, "resident_kib": memory_kib("VmRSS"), "peak_kib": memory_kib("VmHWM"),
-                      "cpu_us": int((time.process_time() - begun_s) * 1e6)}), flush=True)
+    print(
+        json.dumps(
+            {
+                "heard": heard,
+                "resident_kib": memory_kib("VmRSS"),
+                "peak_kib": memory_kib("VmHWM"),
+                "cpu_us": int((time.process_time() - begun_s) * 1e6),
+            }
+        ),
+        flush=True,
+    )
 
 
 def main() -> None:
--- a/ryepier/experiments/contract.py
+++ b/ryepier/experiments/contract.py
@@ -126,8 +126,15 @@
     return dataclasses.replace(cast, sidecar_command=planted.command(plant)) if plant else cast
 
 
-def perform(experiment: Experiment, seed: int, scale: Scale, folder: Path, plant: str = "",
-            watcher: rig.Watcher | None = None, backend: Backend = "sockets") -> list[Claim]:
+def perform(
+    experiment: Experiment,
+    seed: int,
+    scale: Scale,
+    folder: Path,
+    plant: str = "",
+    watcher: rig.Watcher | None = None,
+    backend: Backend = "sockets",
+) -> list[Claim]:
     """Play it, judge it, and write all that came out into `folder`. Raises rig.RigError where the rig failed."""
     world = experiment.world(scale)
     play = _simulating(experiment, plant) if backend == "sim" else _on_sockets(experiment, plant, watcher)
@@ -156,7 +163,7 @@
             cast = dataclasses.replace(cast, sidecar_command=None)
         had = os.sched_getaffinity(0)
         if experiment.cores:
-            os.sched_setaffinity(0, set(sorted(had)[:experiment.cores]))  # the run's processes inherit it
+            os.sched_setaffinity(0, set(sorted(had)[: experiment.cores]))  # the run's processes inherit it
         try:
             return rig.play(world, seed, folder, cast, watcher)
         finally:
@@ -186,10 +193,18 @@
     return claims
 
 
-def make_result(name: str, seed: int, scale: Scale, claims: list[Claim], found: Mapping[str, float],
-                plant: str) -> Result:
-    return Result(name, seed, scale, [msgspec.to_builtins(claim) | {"holds": claim.holds} for claim in claims],
-                  dict(found), versions(), plant)
+def make_result(
+    name: str, seed: int, scale: Scale, claims: list[Claim], found: Mapping[str, float], plant: str
+) -> Result:
+    return Result(
+        name,
+        seed,
+        scale,
+        [msgspec.to_builtins(claim) | {"holds": claim.holds} for claim in claims],
+        dict(found),
+        versions(),
+        plant,
+    )
 
 
 def _seen(world: World, seed: int, folder: Path, play: Play, paired: bool) -> Run:
--- a/ryepier/experiments/coverage.py
+++ b/ryepier/experiments/coverage.py
@@ -18,9 +18,12 @@
 
 STATES = ("not sent", "arriving", "queued", "running", "run", "between", "late")
 LEGEND = {
-    "not sent": "taken by the sidecar, no attempt at any converter yet", "arriving": "partly at a converter",
-    "queued": "whole at a converter, not begun", "running": "being run",
-    "run": "run or turned away, its answer on the way", "between": "an attempt failed, no further one has come yet",
+    "not sent": "taken by the sidecar, no attempt at any converter yet",
+    "arriving": "partly at a converter",
+    "queued": "whole at a converter, not begun",
+    "running": "being run",
+    "run": "run or turned away, its answer on the way",
+    "between": "an attempt failed, no further one has come yet",
     "late": "answered, while an attempt given up is still at a converter",
 }
 RARE = 20  # meetings below which a pair counts as hardly tried
@@ -47,8 +50,10 @@
     def rows(self) -> list[list[str]]:
         """A table: a line for all that struck, a column a state."""
         head = ["", *STATES]
-        return [head, *([strike, *(str(self.cells.get((strike, state), 0)) for state in STATES)]
-                        for strike in self.strikes())]
+        return [
+            head,
+            *([strike, *(str(self.cells.get((strike, state), 0)) for state in STATES)] for strike in self.strikes()),
+        ]
 
     def as_lists(self) -> list[tuple[str, str, int]]:
         return sorted((strike, state, count) for (strike, state), count in self.cells.items())
@@ -58,8 +63,11 @@
     """What a step is called in the table."""
     if step.verb is Verb.TELL:
         return f"told {step.state}"
-    return step.fault if step.verb in (Verb.BEGIN, Verb.STALL, Verb.KILL, Verb.DRIFT, Verb.JUMP, Verb.DOWN,
-                                       Verb.SILENCE, Verb.BREAK) else f"{step.fault}: {step.verb.value}"
+    return (
+        step.fault
+        if step.verb in (Verb.BEGIN, Verb.STALL, Verb.KILL, Verb.DRIFT, Verb.JUMP, Verb.DOWN, Verb.SILENCE, Verb.BREAK)
+        else f"{step.fault}: {step.verb.value}"
+    )
 
 
 def state_at(item: Try, attempts: list[Attempt], at_us: int) -> tuple[str, str]:
@@ -107,7 +115,7 @@
     for step in built.steps:
         strike = strike_of(step)
         first = bisect.bisect_left(sent, step.at_us - longest_us)
-        for item in history.tries[first:bisect.bisect_right(sent, step.at_us)]:
+        for item in history.tries[first : bisect.bisect_right(sent, step.at_us)]:
             state, at = state_at(item, by_ident.get(item.ident, []), step.at_us)
             if state and meets(step, uids.get(step.index, ""), item, state, at):
                 found.cells[strike, state] += 1
--- a/ryepier/experiments/figures.py
+++ b/ryepier/experiments/figures.py
@@ -114,9 +114,13 @@
         "sidecar_most_mib": most_mib(history.lives),
         "emulator_p999_late_ms": max((late.p999_us for late in history.lateness), default=0) / 1000,
     }
-    result |= {f"latency_p{percentile:g}_ms": latencies.get_value_at_percentile(percentile) / 1000
-               for percentile in PERCENTILES}
+    result |= {
+        f"latency_p{percentile:g}_ms": latencies.get_value_at_percentile(percentile) / 1000
+        for percentile in PERCENTILES
+    }
     result |= {f"share_{ending}": count / tries for ending, count in sorted(endings.items())}
-    result |= {f"service_{kind.name}": service(found, lambda item, i=i: item.request_class == i)  # type: ignore[misc]
-               for i, kind in enumerate(world.classes)}
+    result |= {
+        f"service_{kind.name}": service(found, lambda item, i=i: item.request_class == i)  # type: ignore[misc]
+        for i, kind in enumerate(world.classes)
+    }
     return result
--- a/ryepier/experiments/fleet_list.py
+++ b/ryepier/experiments/fleet_list.py
@@ -37,10 +37,16 @@
         """A converter that has just come."""
         self.last += 1
         number = self.last
-        return {"uid": f"s-{int(self.random.integers(1 << 32)):08x}{number:05x}",
-                "endpoint": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:9000",
-                "az": ZONES[number % len(ZONES)], "model": KINDS[int(self.random.integers(len(KINDS)))],
-                "pod_group": number // 10, "state": "active", "capacity_hint": 1.0, "boot_ms": 0}
+        return {
+            "uid": f"s-{int(self.random.integers(1 << 32)):08x}{number:05x}",
+            "endpoint": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:9000",
+            "az": ZONES[number % len(ZONES)],
+            "model": KINDS[int(self.random.integers(len(KINDS)))],
+            "pod_group": number // 10,
+            "state": "active",
+            "capacity_hint": 1.0,
+            "boot_ms": 0,
+        }
 
     def present(self) -> list[Entry]:
         return [entry for entry in self.registry.targets.values() if entry["state"] == "active"]
--- a/ryepier/experiments/graphql_front.py
+++ b/ryepier/experiments/graphql_front.py
@@ -28,9 +28,14 @@
         return world
     replace = msgspec.structs.replace
     stretch = FULL_LENGTH_S / world.duration_s
-    return replace(world, duration_s=FULL_LENGTH_S, clients=replace(world.clients, rate_per_s=FULL_RATE), faults=[
-        replace(fault, for_s=fault.for_s * stretch) for fault in world.faults],
-        sidecars=replace(world.sidecars, count=3), rig=replace(world.rig, client_processes=2, converter_processes=3))
+    return replace(
+        world,
+        duration_s=FULL_LENGTH_S,
+        clients=replace(world.clients, rate_per_s=FULL_RATE),
+        faults=[replace(fault, for_s=fault.for_s * stretch) for fault in world.faults],
+        sidecars=replace(world.sidecars, count=3),
+        rig=replace(world.rig, client_processes=2, converter_processes=3),
+    )
 
 
 def _effects(run: Run) -> dict[str, str]:
@@ -51,7 +56,8 @@
     served = {item.ident for item in run.history.tries if item.ending == "served"}
     asked_again = [ident for ident in reset if effects.get(ident) == "idempotent"]
     return {
-        "requests": len(run.history.tries), "reset_share": len(reset) / max(1, len(run.history.tries)),
+        "requests": len(run.history.tries),
+        "reset_share": len(reset) / max(1, len(run.history.tries)),
         "duplicated_mutations": duplicated_mutations(run),
         "queries_reset": len(asked_again),
         "queries_reset_and_served": sum(ident in served for ident in asked_again) / max(1, len(asked_again)),
@@ -78,17 +84,20 @@
 def _cost_world(graphql: str) -> World:
     world = load("graphql-resets")
     replace = msgspec.structs.replace
-    clients = msgspec.convert(msgspec.to_builtins(world.clients) | {
-        "graphql": graphql, "rate_per_s": COST_RATE}, type(world.clients))
-    return replace(world, duration_s=COST_LENGTH_S, clients=clients, faults=[],
-                   sidecars=replace(world.sidecars, count=1))
+    clients = msgspec.convert(
+        msgspec.to_builtins(world.clients) | {"graphql": graphql, "rate_per_s": COST_RATE}, type(world.clients)
+    )
+    return replace(
+        world, duration_s=COST_LENGTH_S, clients=clients, faults=[], sidecars=replace(world.sidecars, count=1)
+    )
 
 
 def cpu_us(world: World, seed: int, folder: Path, cast: rig.Cast) -> float:
     """CPU of the sidecar for one request, over the middle of a run."""
     history = rig.play(world, seed, folder, cast)
-    samples = [(at_us, cpu) for at_us, cpu, _ in history.lives[0].samples
-               if COST_FROM_S * 1e6 <= at_us <= COST_TO_S * 1e6]
+    samples = [
+        (at_us, cpu) for at_us, cpu, _ in history.lives[0].samples if COST_FROM_S * 1e6 <= at_us <= COST_TO_S * 1e6
+    ]
     came = sum(samples[0][0] <= item.sent_us < samples[-1][0] for item in history.tries)
     served = sum(item.ending == "served" for item in history.tries)
     if len(samples) < 2 or served < 0.98 * len(history.tries):
@@ -99,18 +108,41 @@
 def perform_cost(seed: int, scale: Scale, folder: Path, plant: str) -> tuple[list[Claim], Mapping[str, float]]:
     """Plain, GraphQL's usual documents, and documents that are never the same; all with the same command."""
     cast = rig.Cast(sidecar_command=planted.command(plant) if plant else rig.FORWARDER)
-    got = {kind: cpu_us(_cost_world(kind), seed, folder / kind, cast if kind == "usual" else rig.Cast(
-        sidecar_command=rig.FORWARDER)) for kind in ("no", "usual", "unique")}
+    got = {
+        kind: cpu_us(
+            _cost_world(kind), seed, folder / kind, cast if kind == "usual" else rig.Cast(sidecar_command=rig.FORWARDER)
+        )
+        for kind in ("no", "usual", "unique")
+    }
     usual, unique = got["usual"] / got["no"], got["unique"] / got["no"]
     claims = [
         Claim("CPU of a request, GraphQL with usual documents over plain HTTP", usual, "<=", 1.3),
         Claim("CPU of a request, GraphQL with new documents over plain HTTP", unique, "<=", 3.0),
     ]
-    return claims, {"plain_us": got["no"], "usual_us": got["usual"], "unique_us": got["unique"],
-                    "usual_ratio": usual, "unique_ratio": unique}
+    return claims, {
+        "plain_us": got["no"],
+        "usual_us": got["usual"],
+        "unique_us": got["unique"],
+        "usual_ratio": usual,
+        "unique_ratio": unique,
+    }
 
 
-EXPERIMENTS = (Experiment("graphql-resets", "mutations in many guises while converters reset what they have run",
-                          _resets_world, _resets_claims, ("first-word",), _resets_figures),)
-MEASURED = (Measured("graphql-cost", "CPU of a request: plain, GraphQL with known and with new documents",
-                     perform_cost, ("forgetful",)),)
+EXPERIMENTS = (
+    Experiment(
+        "graphql-resets",
+        "mutations in many guises while converters reset what they have run",
+        _resets_world,
+        _resets_claims,
+        ("first-word",),
+        _resets_figures,
+    ),
+)
+MEASURED = (
+    Measured(
+        "graphql-cost",
+        "CPU of a request: plain, GraphQL with known and with new documents",
+        perform_cost,
+        ("forgetful",),
+    ),
+)
--- a/ryepier/experiments/hollow.py
+++ b/ryepier/experiments/hollow.py
@@ -72,8 +72,9 @@
     if needs.bytes > most:
         raise NotSpared(f"{needs.bytes / gigabyte:.1f} GB asked for, at most {most / gigabyte:.1f} GB may be")
     if needs.bytes > machine.available_bytes:
-        raise NotSpared(f"{needs.bytes / gigabyte:.1f} GB asked for, and only "
-                        f"{machine.available_bytes / gigabyte:.1f} GB are free")
+        raise NotSpared(
+            f"{needs.bytes / gigabyte:.1f} GB asked for, and only {machine.available_bytes / gigabyte:.1f} GB are free"
+        )
     if needs.sockets + SPARE_SOCKETS > machine.sockets:
         raise NotSpared(f"{needs.sockets} sockets asked for in a process, which may hold {machine.sockets} files")
 
@@ -117,8 +118,15 @@
 async def child(module: str, arguments: Sequence[str]) -> AsyncIterator[Child]:
     """A process of that module, ended on leaving whatever it does."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-B", "-m", module, *arguments,
-        stdin=subprocess.PIPE, stdout=subprocess.PIPE, limit=LONGEST_LINE)
+        sys.executable,
+        "-B",
+        "-m",
+        module,
+        *arguments,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        limit=LONGEST_LINE,
+    )
     try:
         yield Child(process)
     finally:
--- a/ryepier/experiments/hollow_converters.py
+++ b/ryepier/experiments/hollow_converters.py
@@ -29,9 +29,23 @@
 
 def listing(known: int, address: tuple[str, int]) -> dict[str, Any]:
     """A list of so many, in discovery's form, all long warm."""
-    return {"rev": 1, "all": True, "targets": [
-        {"uid": f"c-{number:04x}", "endpoint": f"{address[0]}:{address[1]}", "az": "a", "model": "mid",
-         "pod_group": number // 3, "state": "active", "capacity_hint": 1.0, "boot_ms": 0} for number in range(known)]}
+    return {
+        "rev": 1,
+        "all": True,
+        "targets": [
+            {
+                "uid": f"c-{number:04x}",
+                "endpoint": f"{address[0]}:{address[1]}",
+                "az": "a",
+                "model": "mid",
+                "pod_group": number // 3,
+                "state": "active",
+                "capacity_hint": 1.0,
+                "boot_ms": 0,
+            }
+            for number in range(known)
+        ],
+    }
 
 
 class Converter(asyncio.Protocol):
--- a/ryepier/experiments/hollow_forwarders.py
+++ b/ryepier/experiments/hollow_forwarders.py
@@ -106,8 +106,11 @@
 
     def planned(self, event: PlanUpdated) -> None:
         number = self.idents.get(self.hung)
-        if number is not None and self.avoids_after_s is None and any(
-                one.upstream == number and one.rests for one in event.advice):
+        if (
+            number is not None
+            and self.avoids_after_s is None
+            and any(one.upstream == number and one.rests for one in event.advice)
+        ):
             self.avoids_after_s = (clock_us() - self.hung_us) / 1e6
 
     def hang(self, name: str) -> None:
@@ -196,12 +199,20 @@
     def sample(self) -> dict[str, Any]:
         used, counts = hollow.own_usage(), self.counts
         users = [each for each in self.hollows if each.hung in each.idents]
-        return {"at_s": time.monotonic(), "cpu_s": used.cpu_s - counts.made_up_s, "resident": used.resident_bytes,
-                "count": len(self.hollows), "connected": sum(bool(each.links) for each in self.hollows),
-                "bytes_out": counts.bytes_out, "bytes_in": counts.bytes_in, "plan_bytes": counts.plan_bytes,
-                "plans": counts.plans, "reporters": max((each.evidence.forwarders for each in self.hollows), default=0),
-                "users": len(users),
-                "avoids_after_s": [each.avoids_after_s for each in users if each.avoids_after_s is not None]}
+        return {
+            "at_s": time.monotonic(),
+            "cpu_s": used.cpu_s - counts.made_up_s,
+            "resident": used.resident_bytes,
+            "count": len(self.hollows),
+            "connected": sum(bool(each.links) for each in self.hollows),
+            "bytes_out": counts.bytes_out,
+            "bytes_in": counts.bytes_in,
+            "plan_bytes": counts.plan_bytes,
+            "plans": counts.plans,
+            "reporters": max((each.evidence.forwarders for each in self.hollows), default=0),
+            "users": len(users),
+            "avoids_after_s": [each.avoids_after_s for each in users if each.avoids_after_s is not None],
+        }
 
     def take(self, told: Mapping[str, Any]) -> dict[str, Any]:
         """Do one thing; returns what comes of it."""
--- a/ryepier/experiments/hollow_sidecar.py
+++ b/ryepier/experiments/hollow_sidecar.py
@@ -30,8 +30,11 @@
 LOOK_EVERY_S = 0.01
 IDLE_US = 10_000_000
 SOCKETS = 1024
-CLASSES = [RequestClass("read", 100_000, 500_000), RequestClass("write", 300_000, 1_000_000),
-           RequestClass("batch", 600_000, 1_500_000)]
+CLASSES = [
+    RequestClass("read", 100_000, 500_000),
+    RequestClass("write", 300_000, 1_000_000),
+    RequestClass("batch", 600_000, 1_500_000),
+]
 FLEET = 1600
 ZONES = [f"zone-{number}" for number in range(8)]
 KINDS = ["m1", "m2"]
@@ -75,8 +78,17 @@
 
     def start_one(self) -> None:
         settings = Settings(CLASSES, instances=FLEET, max_attempts=3, overload_factor=1.5, warm_up_us=5_000_000)
-        config = Config(("127.0.0.1", 0), self.discovery, self.seed + len(self.hosts), SOCKETS, settings, ZONES, KINDS,
-                        IDLE_US, None)
+        config = Config(
+            ("127.0.0.1", 0),
+            self.discovery,
+            self.seed + len(self.hosts),
+            SOCKETS,
+            settings,
+            ZONES,
+            KINDS,
+            IDLE_US,
+            None,
+        )
         host = Told(settings, config.seed, Pool(IDLE_US, settings.connect_timeout_us, most=SOCKETS * 3 // 8))
         host.book = self.book
         source = discovery_source(config, host)
@@ -116,8 +128,7 @@
             return await self.start(int(line["count"]))
         if line["do"] == "until":
             return await self.until(int(line["version"]), float(line["within_s"]))
-        told: dict[str, Callable[[], dict[str, Any]]] = {
-            "late": self.late, "memory": self.memory, "usage": self.usage}
+        told: dict[str, Callable[[], dict[str, Any]]] = {"late": self.late, "memory": self.memory, "usage": self.usage}
         return told[line["do"]]()
 
 
--- a/ryepier/experiments/hunt.py
+++ b/ryepier/experiments/hunt.py
@@ -38,16 +38,45 @@
 LENGTH_S = 5.0
 CLASSES = [
     RequestClass(name="look", share=0.4, work_ms=(5.0, 15.0), aim_ms=150.0, deadline_ms=700.0, late_worth=0.5),
-    RequestClass(name="pay", share=0.35, work_ms=(5.0, 25.0), aim_ms=150.0, deadline_ms=800.0, worth=3.0,
-                 effect="at_most_once"),
-    RequestClass(name="mark", share=0.25, work_ms=(10.0, 40.0), aim_ms=200.0, deadline_ms=900.0, worth=5.0,
-                 late_worth=0.5, effect="deduplicated", group="cell", memory_ms=500.0),
+    RequestClass(
+        name="pay", share=0.35, work_ms=(5.0, 25.0), aim_ms=150.0, deadline_ms=800.0, worth=3.0, effect="at_most_once"
+    ),
+    RequestClass(
+        name="mark",
+        share=0.25,
+        work_ms=(10.0, 40.0),
+        aim_ms=200.0,
+        deadline_ms=900.0,
+        worth=5.0,
+        late_worth=0.5,
+        effect="deduplicated",
+        group="cell",
+        memory_ms=500.0,
+    ),
 ]
 # with how often each is drawn: what matters only together with another comes more often
-KINDS = {"hang": 2, "refuse": 2, "reset-before": 2, "reset-after": 2, "half-answer": 2, "slow": 2, "release": 6,
-         "discovery-down": 3, "discovery-silent": 3, "watch-break": 3, "surge": 1, "hot-sidecar": 1,
-         "sidecar-kill": 2, "sidecar-hang": 2, "cut": 2, "turn-away": 2, "clock-jump": 1, "clock-drift": 1,
-         "planner-kill": 1, "planner-hang": 1}
+KINDS = {
+    "hang": 2,
+    "refuse": 2,
+    "reset-before": 2,
+    "reset-after": 2,
+    "half-answer": 2,
+    "slow": 2,
+    "release": 6,
+    "discovery-down": 3,
+    "discovery-silent": 3,
+    "watch-break": 3,
+    "surge": 1,
+    "hot-sidecar": 1,
+    "sidecar-kill": 2,
+    "sidecar-hang": 2,
+    "cut": 2,
+    "turn-away": 2,
+    "clock-jump": 1,
+    "clock-drift": 1,
+    "planner-kill": 1,
+    "planner-hang": 1,
+}
 IN_ARRIVALS = frozenset(("surge", "hot-sidecar"))  # they strike nothing by themselves, and so meet no state
 PLANNERS_KINDS = frozenset(("planner-kill", "planner-hang"))
 MOST_FAULTS = 4
@@ -75,11 +104,20 @@
     factor = float(random.uniform(1.2, 6.0))
     if kind == "clock-drift":
         factor = 1.0 + MOST_DRIFT * float(random.uniform(-1, 1))
-    return msgspec.convert({
-        "kind": kind, "at_s": at_s, "for_s": float(random.uniform(0.1, 2.5)), "part": float(random.uniform(0.1, 1.0)),
-        "factor": factor, "share": float(random.uniform(0.05, 1.0)),
-        "drain_s": float(random.uniform(0.0, 3.0)), "down_s": float(random.uniform(0.05, 1.0)),
-        "jump_s": MOST_JUMP_S * float(random.uniform(-1, 1)) if kind == "clock-jump" else 0.0}, Fault)
+    return msgspec.convert(
+        {
+            "kind": kind,
+            "at_s": at_s,
+            "for_s": float(random.uniform(0.1, 2.5)),
+            "part": float(random.uniform(0.1, 1.0)),
+            "factor": factor,
+            "share": float(random.uniform(0.05, 1.0)),
+            "drain_s": float(random.uniform(0.0, 3.0)),
+            "down_s": float(random.uniform(0.05, 1.0)),
+            "jump_s": MOST_JUMP_S * float(random.uniform(-1, 1)) if kind == "clock-jump" else 0.0,
+        },
+        Fault,
+    )
 
 
 def draw_world(seed: int, lean: Mapping[str, float] = NO_WEIGHTS) -> World:
@@ -87,29 +125,60 @@
     random = draws.stream(seed, "hunt")
     count = int(random.integers(2, 9))
     backoff = str(random.choice(["none", "constant", "exponential"]))
-    clients = msgspec.convert({
-        "rate_per_s": float(random.uniform(30, 220)), "retries": int(random.integers(0, 5)), "backoff": backoff,
-        "closes_after": float(random.choice([0.0, 0.3])), "leaves": float(random.choice([0.0, 0.1])),
-        "marks_retries": bool(random.random() < 0.3), "hints": bool(random.random() < 0.5),
-        "graphql": str(random.choice(["no", "usual", "unique"], p=[0.8, 0.1, 0.1]))}, Clients)
+    clients = msgspec.convert(
+        {
+            "rate_per_s": float(random.uniform(30, 220)),
+            "retries": int(random.integers(0, 5)),
+            "backoff": backoff,
+            "closes_after": float(random.choice([0.0, 0.3])),
+            "leaves": float(random.choice([0.0, 0.1])),
+            "marks_retries": bool(random.random() < 0.3),
+            "hints": bool(random.random() < 0.5),
+            "graphql": str(random.choice(["no", "usual", "unique"], p=[0.8, 0.1, 0.1])),
+        },
+        Clients,
+    )
     warmth = Warmth(cold_share=float(random.uniform(0.1, 0.5)), warm_up_s=float(random.uniform(0.5, 4.0)))
     planners = Planners(count=int(random.choice([0, 1, 2], p=[0.75, 0.1, 0.15])), snapshots=False)
     sidecars = int(random.integers(2 if planners.count else 1, 4))
-    kinds = {kind: weight * lean.get(kind, 1.0) for kind, weight in KINDS.items()
-             if planners.count or kind not in PLANNERS_KINDS}
+    kinds = {
+        kind: weight * lean.get(kind, 1.0)
+        for kind, weight in KINDS.items()
+        if planners.count or kind not in PLANNERS_KINDS
+    }
     faults = [draw_fault(random, kinds) for _ in range(int(random.integers(1, MOST_FAULTS + 1)))]
     slices = random.random() < 0.2
     return World(
-        name=f"hunt-{seed}", duration_s=LENGTH_S, clients=clients, warmth=warmth, faults=faults, classes=CLASSES,
-        converters=[Converters(count=count, cores=int(random.integers(1, 4)), pod_size=int(random.integers(1, 4)),
-                               idle_close_s=float(random.choice([0.5, 5.0])))],
-        tenants=[Tenant(name="one", share=0.6), Tenant(name="two", share=0.4)], planners=planners,
-        sidecars=Sidecars(count=sidecars, max_attempts=int(random.integers(2, 5)),
-                          list_on_request=not slices and bool(random.random() < 0.3),
-                          storm=bool(random.random() < 0.3)),
-        discovery=Discovery(late_ms=(0.0, float(random.uniform(50, 900))), heartbeat_s=1.0,
-                            slice_size=int(random.integers(1, 6)) if slices else 0,
-                            mess=float(random.choice([0.0, 0.5])) if slices else 0.0, watch_s=5))
+        name=f"hunt-{seed}",
+        duration_s=LENGTH_S,
+        clients=clients,
+        warmth=warmth,
+        faults=faults,
+        classes=CLASSES,
+        converters=[
+            Converters(
+                count=count,
+                cores=int(random.integers(1, 4)),
+                pod_size=int(random.integers(1, 4)),
+                idle_close_s=float(random.choice([0.5, 5.0])),
+            )
+        ],
+        tenants=[Tenant(name="one", share=0.6), Tenant(name="two", share=0.4)],
+        planners=planners,
+        sidecars=Sidecars(
+            count=sidecars,
+            max_attempts=int(random.integers(2, 5)),
+            list_on_request=not slices and bool(random.random() < 0.3),
+            storm=bool(random.random() < 0.3),
+        ),
+        discovery=Discovery(
+            late_ms=(0.0, float(random.uniform(50, 900))),
+            heartbeat_s=1.0,
+            slice_size=int(random.integers(1, 6)) if slices else 0,
+            mess=float(random.choice([0.0, 0.5])) if slices else 0.0,
+            watch_s=5,
+        ),
+    )
 
 
 def trace_of(history: History) -> str:
@@ -159,8 +228,10 @@
     for strike in coverage.strikes():
         kind = strike.partition(":")[0]
         parts.setdefault("release" if kind.startswith("told") else kind, []).append(strike)
-    rare = {kind: sum(map(coverage.rare, strikes)) / len(strikes) if strikes else float(kind not in IN_ARRIVALS)
-            for kind, strikes in parts.items()}
+    rare = {
+        kind: sum(map(coverage.rare, strikes)) / len(strikes) if strikes else float(kind not in IN_ARRIVALS)
+        for kind, strikes in parts.items()
+    }
     return {kind: 1.0 + LEAN * share for kind, share in rare.items()}
 
 
@@ -170,7 +241,7 @@
     total = Coverage()
     with ProcessPoolExecutor(processes or os.cpu_count(), initializer=plant_in_process, initargs=(plant,)) as pool:
         for begin in range(0, len(seeds), ROUND):
-            some = seeds[begin:begin + ROUND]
+            some = seeds[begin : begin + ROUND]
             lean = leaning(total) if begin else {}
             for played in pool.map(hunted, some, [plant] * len(some), [lean] * len(some), chunksize=4):
                 total.add(played.coverage)
@@ -179,6 +250,7 @@
 
 def shrink(find: Find, breaks: Callable[[World], bool] | None = None) -> Find:
     """The same find with the fewest faults, then the fewest sidecars and converters, that break one of its rules."""
+
     def still(world: World) -> bool:
         again, _ = play(world, find.seed, find.plant)
         return again is not None and bool(again.rules.keys() & find.rules.keys())
@@ -189,12 +261,14 @@
     while changed:
         changed = False
         for index in range(len(world.faults)):
-            smaller = replace(world, faults=world.faults[:index] + world.faults[index + 1:])
+            smaller = replace(world, faults=world.faults[:index] + world.faults[index + 1 :])
             if breaks(smaller):
                 world, changed = smaller, True
                 break
-    for smaller in (replace(world, sidecars=replace(world.sidecars, count=1)),
-                    replace(world, clients=replace(world.clients, retries=0))):
+    for smaller in (
+        replace(world, sidecars=replace(world.sidecars, count=1)),
+        replace(world, clients=replace(world.clients, retries=0)),
+    ):
         if breaks(smaller):
             world = smaller
     again, _ = play(world, find.seed, find.plant)
@@ -206,8 +280,9 @@
     item: Try | None = next((one for one in history.tries if one.ident == ident), None)
     lines: list[tuple[int, str]] = []
     if item is not None:
-        lines.append((item.sent_us, f"client sends {ident} to sidecar {item.sidecar}, and waits "
-                                    f"{item.deadline_us // 1000} ms"))
+        lines.append(
+            (item.sent_us, f"client sends {ident} to sidecar {item.sidecar}, and waits {item.deadline_us // 1000} ms")
+        )
         lines.append((item.ended_us, f"client: {item.ending}" + (f", status {item.status}" if item.status else "")))
     for attempt in history.attempts:
         if attempt.ident == ident:
@@ -217,9 +292,11 @@
                 lines.append((attempt.run_us, f"{attempt.uid}: runs it"))
             lines.append((attempt.ended_us, f"{attempt.uid}: {attempt.ending}"))
             if item is not None:
-                lines += [(told.at_us, f"sidecar {told.sidecar} is told: {told.uid} {told.state}")
-                          for told in history.told if told.uid == attempt.uid and told.sidecar == item.sidecar
-                          and told.state != "active"]
+                lines += [
+                    (told.at_us, f"sidecar {told.sidecar} is told: {told.uid} {told.state}")
+                    for told in history.told
+                    if told.uid == attempt.uid and told.sidecar == item.sidecar and told.state != "active"
+                ]
     return [f"{at_us / 1e6:10.6f} s  {text}" for at_us, text in sorted(set(lines))]
 
 
--- a/ryepier/experiments/judge.py
+++ b/ryepier/experiments/judge.py
@@ -93,9 +93,11 @@
         lives = self.lives[item.sidecar]
         if any(life.stalled(item.sent_us - SLACK_US, item.ended_us) for life in lives):
             return False
-        return not lives or any(life.begun_us <= item.sent_us and (life.ended_us == NEVER or not life.killed
-                                                                   or life.ended_us > item.ended_us)
-                                for life in lives)
+        return not lives or any(
+            life.begun_us <= item.sent_us
+            and (life.ended_us == NEVER or not life.killed or life.ended_us > item.ended_us)
+            for life in lives
+        )
 
     # Answers
 
@@ -112,21 +114,24 @@
         if item.ending == "served" and not self.made(item):
             self.breach("forged", item.ended_us, f"{item.ident}: for {item.answer_for!r} by {item.answer_by!r}")
         if item.ending in ("refused", "failed") and not self.at_once(item):
-            self.breach("held", item.ended_us,
-                        f"{item.ident} {item.ending} after {(item.ended_us - item.sent_us) // 1000} ms")
+            self.breach(
+                "held", item.ended_us, f"{item.ident} {item.ending} after {(item.ended_us - item.sent_us) // 1000} ms"
+            )
         if item.ending == "refused" and not self.harmless_to_repeat(self.kind(item)):
             self.refusal(item)
 
     def made(self, item: Try) -> bool:
         return item.answer_for == item.ident and any(
-            attempt.uid == item.answer_by and attempt.status == 200 for attempt in self.attempts[item.ident])
+            attempt.uid == item.answer_by and attempt.status == 200 for attempt in self.attempts[item.ident]
+        )
 
     def at_once(self, item: Try) -> bool:
         """Whether nothing but what may take time lies before the answer: attempts, of which those that never came up
         are known to nobody but the sidecar, and before each the buffer, for half the aim."""
         # a converter sees the end of an attempt that was given up a little after the client sees its answer
-        ends = [item.ended_us if a.ended_us == NEVER else min(a.ended_us, item.ended_us)
-                for a in self.attempts[item.ident]]
+        ends = [
+            item.ended_us if a.ended_us == NEVER else min(a.ended_us, item.ended_us) for a in self.attempts[item.ident]
+        ]
         since_us = max([item.sent_us, *ends])
         sidecars = self.world.sidecars
         unseen = max(0, sidecars.max_attempts - len(ends))
@@ -196,13 +201,17 @@
             notices = told.get((item.sidecar, attempt.uid)) if item is not None else None
             if item is None or not notices:
                 continue
-            begun_us = max((life.begun_us for life in self.lives[item.sidecar] if life.begun_us <= attempt.first_us),
-                           default=0)
+            begun_us = max(
+                (life.begun_us for life in self.lives[item.sidecar] if life.begun_us <= attempt.first_us), default=0
+            )
             first_us = min((at_us for at_us in notices if at_us >= begun_us), default=None)
             if first_us is not None and attempt.first_us > self.acts_by(item.sidecar, first_us, grace_us):
                 late_ms = (attempt.first_us - first_us) // 1000
-                self.breach("drain", attempt.first_us,
-                            f"{attempt.ident} to {attempt.uid}, {late_ms} ms after sidecar {item.sidecar} was told")
+                self.breach(
+                    "drain",
+                    attempt.first_us,
+                    f"{attempt.ident} to {attempt.uid}, {late_ms} ms after sidecar {item.sidecar} was told",
+                )
 
     def acts_by(self, sidecar: int, told_us: int, grace_us: float) -> float:
         """Until when it may not know: one that stood still reads what it was told once it goes on."""
--- a/ryepier/experiments/list_parts.py
+++ b/ryepier/experiments/list_parts.py
@@ -38,7 +38,7 @@
 def cut(data: bytes, piece: int) -> Any:
     """The one object in it, fed in pieces."""
     objects = Objects()
-    (found,) = [one for at in range(0, len(data), piece) for one in objects.feed(data[at:at + piece])]
+    (found,) = [one for at in range(0, len(data), piece) for one in objects.feed(data[at : at + piece])]
     return found
 
 
@@ -59,5 +59,6 @@
         lines = single.time("parse", cut, data, PIECE)
         event, _ = single.time("directory", directory.read, lines)
         single.time("module", balancer.handle, clock_us(), event)
-    return ({f"alone_list_{part}_ms": spent for part, spent in whole.spent_ms.items()}
-            | {f"alone_change_{part}_us": 1000 * spent / len(chosen) for part, spent in single.spent_ms.items()})
+    return {f"alone_list_{part}_ms": spent for part, spent in whole.spent_ms.items()} | {
+        f"alone_change_{part}_us": 1000 * spent / len(chosen) for part, spent in single.spent_ms.items()
+    }
--- a/ryepier/experiments/planner_reconnect.py
+++ b/ryepier/experiments/planner_reconnect.py
@@ -72,8 +72,14 @@
     """One death: seconds until all are back, and the greatest share that came within one window."""
     planner = Listener()
     await planner.listen()
-    made = [Forwarder(Settings(f"f{i}", [("127.0.0.1", planner.port)], Rules(fleet=size), report_s=BEAT_S),
-                      Sidecar(dict, lambda event: None, [100_000], 1), machine(f"{seed} f{i}")) for i in range(size)]
+    made = [
+        Forwarder(
+            Settings(f"f{i}", [("127.0.0.1", planner.port)], Rules(fleet=size), report_s=BEAT_S),
+            Sidecar(dict, lambda event: None, [100_000], 1),
+            machine(f"{seed} f{i}"),
+        )
+        for i in range(size)
+    ]
     for one in made:
         one.start()
     await until_all(planner, size)
@@ -117,9 +123,11 @@
             claims.append(Claim(f"share of {size} that came back after {down_s:g} s away", row["back"], "==", 1.0))
         claims += [
             Claim(f"time until all {size} are back (s)", row["back_after_s"], "<=", LONGEST_AGAIN_S + 0.5),
-            Claim(f"greatest share of {size} that came within {WINDOW_S:g} s", row["peak_share"], "<=", 0.3)]
+            Claim(f"greatest share of {size} that came within {WINDOW_S:g} s", row["peak_share"], "<=", 0.3),
+        ]
     return claims, figures
 
 
-EXPERIMENTS = (Measured("planner-reconnect", "how forwarders' connections come back after a planner's death", perform,
-                        ("herd",)),)
+EXPERIMENTS = (
+    Measured("planner-reconnect", "how forwarders' connections come back after a planner's death", perform, ("herd",)),
+)
--- a/ryepier/experiments/planner_scale.py
+++ b/ryepier/experiments/planner_scale.py
@@ -45,8 +45,9 @@
         self.number += 1
         for uid, old in self.seen.items():
             count = int(self.random.poisson(2.0))
-            self.seen[uid] = Seen(old.sends + count, old.served + count, old.bad, old.full,
-                                  (0, 0, 0, 0, 0, old.served + count))
+            self.seen[uid] = Seen(
+                old.sends + count, old.served + count, old.bad, old.full, (0, 0, 0, 0, 0, old.served + count)
+            )
         return encode(Report(self.number, CONVERTERS, self.seen, {}, [self.number * 10], [self.number * 10], 0))
 
     async def run(self, address: tuple[str, int]) -> None:
@@ -90,8 +91,9 @@
     raise RigError(f"{who} did not come up")
 
 
-async def measure(process: subprocess.Popen[bytes], address: tuple[str, int], count: int, seed: int, for_s: float,
-                  whole: bool) -> dict[str, float]:
+async def measure(
+    process: subprocess.Popen[bytes], address: tuple[str, int], count: int, seed: int, for_s: float, whole: bool
+) -> dict[str, float]:
     """Figures of one planner with so many forwarders."""
     await until_up(process, address)
     made = [Simulated(i, draws.stream(seed, f"forwarder {i}"), whole) for i in range(count)]
@@ -106,8 +108,12 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
     spent = [late - early for early, late in zip(before, after, strict=True)]
-    return {"cores": spent[0] / spent[1], "bytes_in_per_s": spent[2] / spent[1], "bytes_out_per_s": spent[3] / spent[1],
-            "plans_per_s_a_forwarder": spent[4] / spent[1] / count}
+    return {
+        "cores": spent[0] / spent[1],
+        "bytes_in_per_s": spent[2] / spent[1],
+        "bytes_out_per_s": spent[3] / spent[1],
+        "plans_per_s_a_forwarder": spent[4] / spent[1] / count,
+    }
 
 
 def _sums(made: Sequence[Simulated]) -> tuple[int, int, int]:
@@ -143,5 +149,11 @@
     return claims, figures
 
 
-EXPERIMENTS = (Measured("planner-scale", "a planner's CPU and bytes at 50, 200 and 1,000 simulated forwarders", perform,
-                        ("whole-reports",)),)
+EXPERIMENTS = (
+    Measured(
+        "planner-scale",
+        "a planner's CPU and bytes at 50, 200 and 1,000 simulated forwarders",
+        perform,
+        ("whole-reports",),
+    ),
+)
--- a/ryepier/experiments/planning.py
+++ b/ryepier/experiments/planning.py
@@ -71,9 +71,18 @@
     if scale == "small":
         return world
     replace = msgspec.structs.replace
-    return replace(world, duration_s=world.duration_s - 12.0 + FULL_LOSS_S, faults=[
-        replace(fault, down_s=FULL_LOSS_S) if fault.kind == "planner-kill" else replace(
-            fault, for_s=FULL_LOSS_S) if fault.kind == "release" else fault for fault in world.faults])
+    return replace(
+        world,
+        duration_s=world.duration_s - 12.0 + FULL_LOSS_S,
+        faults=[
+            replace(fault, down_s=FULL_LOSS_S)
+            if fault.kind == "planner-kill"
+            else replace(fault, for_s=FULL_LOSS_S)
+            if fault.kind == "release"
+            else fault
+            for fault in world.faults
+        ],
+    )
 
 
 def _loss_claims(run: Run) -> list[Claim]:
@@ -98,11 +107,19 @@
     fault = _fault(run, "surge")
     end_s = fault.at_s + fault.for_s
     return [
-        Claim("forwarders that went over to the other planner", _files_with(run, second), ">=",
-              0.95 * run.world.sidecars.count),
+        Claim(
+            "forwarders that went over to the other planner",
+            _files_with(run, second),
+            ">=",
+            0.95 * run.world.sidecars.count,
+        ),
         Claim("service during the surge", figures.service(run.orders, figures.between(fault.at_s, end_s)), ">=", 0.55),
-        Claim("service from 2 s after the surge",
-              figures.service(run.orders, figures.between(end_s + 2.0, run.world.duration_s)), ">=", 0.95),
+        Claim(
+            "service from 2 s after the surge",
+            figures.service(run.orders, figures.between(end_s + 2.0, run.world.duration_s)),
+            ">=",
+            0.95,
+        ),
     ]
 
 
@@ -120,10 +137,18 @@
         Claim("forwarders that went over to the other planner", forth, "==", run.world.sidecars.count),
         Claim("changes of planner, over two a forwarder", len(lines) - back - forth, "==", 0),
         Claim("the planner that hung stepped down", len(steps_down), ">=", 1),
-        Claim("service from the stall on", figures.service(run.orders, figures.between(
-            fault.at_s, run.world.duration_s)), ">=", 0.97),
-        Claim("service once it is back", figures.service(run.orders, figures.between(
-            resumed_s, run.world.duration_s)), ">=", 0.97),
+        Claim(
+            "service from the stall on",
+            figures.service(run.orders, figures.between(fault.at_s, run.world.duration_s)),
+            ">=",
+            0.97,
+        ),
+        Claim(
+            "service once it is back",
+            figures.service(run.orders, figures.between(resumed_s, run.world.duration_s)),
+            ">=",
+            0.97,
+        ),
     ]
 
 
@@ -135,8 +160,13 @@
     begin_s, end_s = kill.at_s + kill.down_s + 1.0, run.world.duration_s
     hung, whole = figures.attempts_between(run.history.attempts, struck_uids(run, ("hang",)), begin_s, end_s)
     refused = _files_with(run, "is refused: too few forwarders reported")
-    taken = len({line["file"] for line in _logs_with(run, "sidecar-*.log", "follows the plans")
-                 if "epoch 10000" in str(line["message"])})
+    taken = len(
+        {
+            line["file"]
+            for line in _logs_with(run, "sidecar-*.log", "follows the plans")
+            if "epoch 10000" in str(line["message"])
+        }
+    )
     return [
         Claim("forwarders that refused the empty plan", refused, "==", run.world.sidecars.count),
         Claim("forwarders that took it", taken, "==", 0),
@@ -237,11 +267,16 @@
     got = _slow_figures(run)
     lost_with, lost_without = 1 - got["service_in_the_slow_with"], 1 - got["service_in_the_slow_without"]
     return [
-        Claim("time to avoid, with planners over without", got["avoided_after_s_with"] / max(
-            AVOID_STEP_S, got["avoided_after_s_without"]), "<=", 0.5),
+        Claim(
+            "time to avoid, with planners over without",
+            got["avoided_after_s_with"] / max(AVOID_STEP_S, got["avoided_after_s_without"]),
+            "<=",
+            0.5,
+        ),
         # each sidecar draws slow ones less by itself, so there is little left to gain
-        Claim("worth lost while they are slow, with planners over without", lost_with / max(1e-6, lost_without),
-              "<=", 1.0),
+        Claim(
+            "worth lost while they are slow, with planners over without", lost_with / max(1e-6, lost_without), "<=", 1.0
+        ),
     ]
 
 
@@ -249,32 +284,83 @@
     got = _gain_figures(run)
     lost_with, lost_without = 1 - got["service_in_the_hang_with"], 1 - got["service_in_the_hang_without"]
     return [
-        Claim("time to avoid, with planners over without", got["avoided_after_s_with"] / max(
-            AVOID_STEP_S, got["avoided_after_s_without"]), "<=", 0.5),
+        Claim(
+            "time to avoid, with planners over without",
+            got["avoided_after_s_with"] / max(AVOID_STEP_S, got["avoided_after_s_without"]),
+            "<=",
+            0.5,
+        ),
         Claim("worth lost in the hang, with planners over without", lost_with / max(1e-6, lost_without), "<=", 0.8),
-        Claim("breaches of rules without planners", sum(Counter(
-            breach.rule for breach in run.other.breaches).values()) if run.other else 0, "==", 0),
+        Claim(
+            "breaches of rules without planners",
+            sum(Counter(breach.rule for breach in run.other.breaches).values()) if run.other else 0,
+            "==",
+            0,
+        ),
     ]
 
 
 EXPERIMENTS = (
-    Experiment("planner-loss", "all planners away for 12 s (full: 60 s) while converters are released", _loss_world,
-               _loss_claims, ("deaf",)),
-    Experiment("planner-kill", "the planner that leads is killed in a surge of 2.3 times",
-               lambda scale: load("planner-kill"), _kill_claims, ("lose",)),
-    Experiment("planner-hang", "the planner that leads stalls for 5 s with its connections open",
-               lambda scale: load("planner-hang"), _hang_claims, ("trust-none",)),
-    Experiment("planner-empty", "planners come back with nothing in mind while converters hang",
-               lambda scale: load("planner-empty"), _empty_claims, ("trust-any",), planner_restart="amnesiac"),
-    Experiment("planner-liar", "three forwarders tell planners tall tales of converters that are well",
-               lambda scale: load("planner-liar"), _liar_claims, ("credulous",),
-               odd_sidecars=dict.fromkeys(range(LIARS), "liar")),
-    Experiment("planner-restart", "both planners die and come back with their snapshots while converters hang",
-               lambda scale: load("planner-restart"), _restart_claims, ("trust-none",)),
-    Experiment("planner-gain", "a sixth of the converters hangs, with planners and without",
-               lambda scale: load("planner-gain"), _gain_claims, ("trust-none",), _gain_figures,
-               paired=without_planners),
-    Experiment("planner-slow", "a sixth of the converters is ten times as slow, with planners and without",
-               lambda scale: load("planner-slow"), _slow_claims, ("trust-none",), _slow_figures,
-               paired=without_planners),
+    Experiment(
+        "planner-loss",
+        "all planners away for 12 s (full: 60 s) while converters are released",
+        _loss_world,
+        _loss_claims,
+        ("deaf",),
+    ),
+    Experiment(
+        "planner-kill",
+        "the planner that leads is killed in a surge of 2.3 times",
+        lambda scale: load("planner-kill"),
+        _kill_claims,
+        ("lose",),
+    ),
+    Experiment(
+        "planner-hang",
+        "the planner that leads stalls for 5 s with its connections open",
+        lambda scale: load("planner-hang"),
+        _hang_claims,
+        ("trust-none",),
+    ),
+    Experiment(
+        "planner-empty",
+        "planners come back with nothing in mind while converters hang",
+        lambda scale: load("planner-empty"),
+        _empty_claims,
+        ("trust-any",),
+        planner_restart="amnesiac",
+    ),
+    Experiment(
+        "planner-liar",
+        "three forwarders tell planners tall tales of converters that are well",
+        lambda scale: load("planner-liar"),
+        _liar_claims,
+        ("credulous",),
+        odd_sidecars=dict.fromkeys(range(LIARS), "liar"),
+    ),
+    Experiment(
+        "planner-restart",
+        "both planners die and come back with their snapshots while converters hang",
+        lambda scale: load("planner-restart"),
+        _restart_claims,
+        ("trust-none",),
+    ),
+    Experiment(
+        "planner-gain",
+        "a sixth of the converters hangs, with planners and without",
+        lambda scale: load("planner-gain"),
+        _gain_claims,
+        ("trust-none",),
+        _gain_figures,
+        paired=without_planners,
+    ),
+    Experiment(
+        "planner-slow",
+        "a sixth of the converters is ten times as slow, with planners and without",
+        lambda scale: load("planner-slow"),
+        _slow_claims,
+        ("trust-none",),
+        _slow_figures,
+        paired=without_planners,
+    ),
 )
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -48,8 +48,15 @@
     """One request in many is sent to two converters at once."""
     start, count = Pool.start, 0
 
-    def start_twice(self: Pool, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
-                    ended: Callable[[Result], None], latest_us: int = 0) -> Attempt:
+    def start_twice(
+        self: Pool,
+        upstream: int,
+        address: tuple[str, int],
+        call: Call,
+        timeout_us: int,
+        ended: Callable[[Result], None],
+        latest_us: int = 0,
+    ) -> Attempt:
         nonlocal count
         count += 1
         others = [line for line in self.connections if line != upstream]
@@ -101,8 +108,9 @@
     """A fresh converter gets all there is."""
     free_slots = Balancer.free_slots
 
-    def youngest(self: Balancer, request: Request, servers: list[Server],
-                 some_rest: bool) -> list[tuple[Server, float]]:
+    def youngest(
+        self: Balancer, request: Request, servers: list[Server], some_rest: bool
+    ) -> list[tuple[Server, float]]:
         cold = [server for server in self.servers.values() if self.warmth(server) < 1.0]
         return [(cold[-1], 1.0)] if cold else free_slots(self, request, servers, some_rest)
 
@@ -177,8 +185,10 @@
 
     def tall_tale(self: Reporter, *arguments: Any, **more: Any) -> Report:
         told = report(self, *arguments, **more)
-        lies = {uid: msgspec.structs.replace(seen, bad=seen.bad + LIES * seen.sends) if hash_of(uid) % 6 == 0 else seen
-                for uid, seen in told.seen.items()}
+        lies = {
+            uid: msgspec.structs.replace(seen, bad=seen.bad + LIES * seen.sends) if hash_of(uid) % 6 == 0 else seen
+            for uid, seen in told.seen.items()
+        }
         return msgspec.structs.replace(told, seen=lies)
 
     Reporter.report = tall_tale  # type: ignore[method-assign]
@@ -227,6 +237,7 @@
 
 def last_writer() -> None:
     """Of several slices the word that came last counts, and no end is remembered."""
+
     def decide(self: Merger, identity: str, said: list[Word]) -> merge.Verdict:
         last = said[-1]
         state = api.UpstreamState.DRAINING if last.rank else api.UpstreamState.READY
@@ -290,8 +301,11 @@
     from ryepier.storm.detect import Detector, Evidence
 
     Detector._opens = lambda self, evidence: evidence.later_share > 0  # type: ignore[method-assign]
-    Detector._evidence = lambda self, now_us: Evidence(  # type: ignore[method-assign]
-        sum(self.rates), self.served, sum(self.rates[1:]) / max(1.0, sum(self.rates)), 0.0, None)
+    Detector._evidence = (
+        lambda self, now_us: Evidence(  # type: ignore[method-assign]
+            sum(self.rates), self.served, sum(self.rates[1:]) / max(1.0, sum(self.rates)), 0.0, None
+        )
+    )
 
 
 def answer_twice() -> None:
@@ -351,14 +365,34 @@
 
 PLANNERS_PLANTS = frozenset(("amnesiac", "credulous", "recount"))  # mistakes of a planner; all others are a sidecar's
 PLANTS: dict[str, Callable[[], None]] = {
-    "twice": twice, "deaf": deaf, "hold": held_answer, "lose": lose, "blind": blind, "crowd": crowd,
-    "no-advice": no_advice, "spin": spin, "scan": scan, "no-budget": no_budget, "late-start": late_start,
-    "trust-any": trust_any, "trust-none": trust_none, "amnesiac": amnesiac,
-    "credulous": credulous, "liar": liar, "recount": recount,
-    "first-word": first_word, "forgetful": forgetful,
-    "answer-twice": answer_twice, "keep-after-time-out": keep_after_time_out, "forget-drain": forget_drain,
-    "herd": herd, "no-spread": no_spread, "jumpy": jumpy, "last-writer": last_writer,
-    "never-again": never_again, "whole-list": whole_list,
+    "twice": twice,
+    "deaf": deaf,
+    "hold": held_answer,
+    "lose": lose,
+    "blind": blind,
+    "crowd": crowd,
+    "no-advice": no_advice,
+    "spin": spin,
+    "scan": scan,
+    "no-budget": no_budget,
+    "late-start": late_start,
+    "trust-any": trust_any,
+    "trust-none": trust_none,
+    "amnesiac": amnesiac,
+    "credulous": credulous,
+    "liar": liar,
+    "recount": recount,
+    "first-word": first_word,
+    "forgetful": forgetful,
+    "answer-twice": answer_twice,
+    "keep-after-time-out": keep_after_time_out,
+    "forget-drain": forget_drain,
+    "herd": herd,
+    "no-spread": no_spread,
+    "jumpy": jumpy,
+    "last-writer": last_writer,
+    "never-again": never_again,
+    "whole-list": whole_list,
 }
 
 
--- a/ryepier/experiments/report.py
+++ b/ryepier/experiments/report.py
@@ -40,17 +40,30 @@
     breaches = msgspec.json.decode((folder / contract.BREACHES).read_bytes(), type=list[Breach])
     orders = figures.orders(world, history.tries)
     template = jinja2.Environment(autoescape=True).from_string(
-        resources.files("ryepier.experiments").joinpath("report.html").read_text())
+        resources.files("ryepier.experiments").joinpath("report.html").read_text()
+    )
     path = folder / REPORT
-    path.write_text(template.render(
-        result=result, world=world, breaches=breaches[:MOST_BREACHES], breach_count=len(breaches), rules=RULES,
-        happenings=history.happenings[:MOST_HAPPENINGS], lateness=history.lateness,
-        plots=[(title, markupsafe.Markup(svg)) for title, svg in (
-            ("Offered and what became of it", _outcomes(world, history, orders)),
-            ("Latency of what was served", _latencies(world, orders)),
-            ("Latency by percentile", _percentiles(orders)),
-            ("Attempts a converter", _attempts(world, history)),
-            ("CPU and memory of the sidecars", _machines(history)))]))
+    path.write_text(
+        template.render(
+            result=result,
+            world=world,
+            breaches=breaches[:MOST_BREACHES],
+            breach_count=len(breaches),
+            rules=RULES,
+            happenings=history.happenings[:MOST_HAPPENINGS],
+            lateness=history.lateness,
+            plots=[
+                (title, markupsafe.Markup(svg))
+                for title, svg in (
+                    ("Offered and what became of it", _outcomes(world, history, orders)),
+                    ("Latency of what was served", _latencies(world, orders)),
+                    ("Latency by percentile", _percentiles(orders)),
+                    ("Attempts a converter", _attempts(world, history)),
+                    ("CPU and memory of the sidecars", _machines(history)),
+                )
+            ],
+        )
+    )
     return path
 
 
@@ -64,7 +77,7 @@
     figure.tight_layout()
     figure.savefig(text, format="svg", metadata={"Date": None})
     whole = text.getvalue()
-    return whole[whole.index("<svg"):]
+    return whole[whole.index("<svg") :]
 
 
 def _axes(world: World | None = None) -> tuple[Figure, Axes]:
@@ -74,10 +87,15 @@
     if world is not None:
         axes.set_xlabel("seconds of the run")
         for fault in world.faults:
-            axes.axvspan(fault.at_s, fault.at_s + max(fault.for_s, fault.down_s if "kill" in fault.kind else 0.05),
-                         alpha=0.12, color="tab:red")
-            axes.annotate(fault.kind, (fault.at_s, 1.0), xycoords=("data", "axes fraction"), fontsize=7,
-                          rotation=20, va="bottom")
+            axes.axvspan(
+                fault.at_s,
+                fault.at_s + max(fault.for_s, fault.down_s if "kill" in fault.kind else 0.05),
+                alpha=0.12,
+                color="tab:red",
+            )
+            axes.annotate(
+                fault.kind, (fault.at_s, 1.0), xycoords=("data", "axes fraction"), fontsize=7, rotation=20, va="bottom"
+            )
     return figure, axes
 
 
@@ -108,8 +126,10 @@
     for order in orders:
         groups.setdefault(int(order.first.planned_us / 1e6 / WINDOW_S), []).append(order)
     for name, percentile in CURVES:
-        values = [figures.histogram(groups.get(i, [])).get_value_at_percentile(percentile) / 1000
-                  for i in range(len(edges) - 1)]
+        values = [
+            figures.histogram(groups.get(i, [])).get_value_at_percentile(percentile) / 1000
+            for i in range(len(edges) - 1)
+        ]
         axes.plot(edges[:-1], values, linewidth=1.0, label=name)
     axes.set_ylabel("ms")
     axes.set_yscale("symlog", linthresh=1.0)
@@ -156,4 +176,3 @@
     axes.set_ylabel("cores (solid)")
     memory.set_ylabel("MiB (dotted)")
     return _svg(figure)
-
--- a/ryepier/experiments/scale_call.py
+++ b/ryepier/experiments/scale_call.py
@@ -169,26 +169,38 @@
             self.call(monotonic_us())
 
 
-def settings_of(seed: int, known: int, listen: tuple[str, int], agent: tuple[str, int], converters: tuple[str, int]
-                ) -> str:
+def settings_of(
+    seed: int, known: int, listen: tuple[str, int], agent: tuple[str, int], converters: tuple[str, int]
+) -> str:
     """The platform's configuration of one sidecar, as JSON."""
     world: World = load("steady")
     world = msgspec.structs.replace(
-        world, sidecars=msgspec.structs.replace(world.sidecars, count=1),
+        world,
+        sidecars=msgspec.structs.replace(world.sidecars, count=1),
         clients=msgspec.structs.replace(world.clients, rate_per_s=float(DESIGN_PER_S)),
-        classes=[msgspec.structs.replace(world.classes[0], share=1.0, effect="idempotent")])
+        classes=[msgspec.structs.replace(world.classes[0], share=1.0, effect="idempotent")],
+    )
     settings = files.sidecar_settings(world, 0)
     settings["bounds"]["conn-idle"] = 60_000_000  # else connections would be made anew, which is another cost
-    return json.dumps({
-        "name": f"n{known}", "listen": f"{listen[0]}:{listen[1]}", "discovery": f"{agent[0]}:{agent[1]}",
-        "seed": f"{seed * 1000 + known:x}", "known": listing(known, converters),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096}, "settings": settings})
+    return json.dumps(
+        {
+            "name": f"n{known}",
+            "listen": f"{listen[0]}:{listen[1]}",
+            "discovery": f"{agent[0]}:{agent[1]}",
+            "seed": f"{seed * 1000 + known:x}",
+            "known": listing(known, converters),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
+            "settings": settings,
+        }
+    )
 
 
 def request_text(name: str) -> bytes:
     """What a client sends; its number comes into it."""
-    return (f"GET /{name}/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: r-%d\r\nX-Class: {name}\r\n"
-            "X-Tenant: north\r\nX-Deadline-Ms: 1000\r\n\r\n").encode()
+    return (
+        f"GET /{name}/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: r-%d\r\nX-Class: {name}\r\n"
+        "X-Tenant: north\r\nX-Deadline-Ms: 1000\r\n\r\n"
+    ).encode()
 
 
 REQUEST = request_text("convert-file")
@@ -216,8 +228,9 @@
         config = self.folder / f"sidecar-{known}.json"
         config.write_text(settings_of(self.seed, known, listen, self.agent(known), self.converters))
         with open(self.folder / f"sidecar-{known}.log", "wb") as log:
-            process = subprocess.Popen(command, env=os.environ | {"BALANCER_CONFIG": str(config)},
-                                       stdout=log, stderr=log)
+            process = subprocess.Popen(
+                command, env=os.environ | {"BALANCER_CONFIG": str(config)}, stdout=log, stderr=log
+            )
         try:
             await until_up(process, listen, "a sidecar")
             yield Sidecar(known, process, Target(listen, REQUEST))
@@ -246,8 +259,11 @@
     }
     for percentile in (50, 99):
         through_ms, direct_ms = time_ms(target, percentile), time_ms(direct, percentile)
-        found |= {f"p{percentile}_ms_{name}": through_ms, f"direct_p{percentile}_ms_{name}": direct_ms,
-                  f"added_p{percentile}_ms_{name}": through_ms - direct_ms}
+        found |= {
+            f"p{percentile}_ms_{name}": through_ms,
+            f"direct_p{percentile}_ms_{name}": direct_ms,
+            f"added_p{percentile}_ms_{name}": through_ms - direct_ms,
+        }
     return found
 
 
@@ -265,8 +281,9 @@
     early = sidecar.cpu_ns()
     await calls(for_s)
     late = sidecar.cpu_ns()
-    return phase_row(f"{rate}_per_s_{sidecar.known}_known", for_s, sidecar.target, direct,
-                     (late[0] - early[0], late[1] - early[1]))
+    return phase_row(
+        f"{rate}_per_s_{sidecar.known}_known", for_s, sidecar.target, direct, (late[0] - early[0], late[1] - early[1])
+    )
 
 
 def top_functions(path: Path, calls: int) -> list[tuple[str, float]]:
@@ -292,8 +309,12 @@
         module = planted.command(plant)[2:] if plant else list(SIDECAR[2:])
         command = [sys.executable, "-B", "-m", "cProfile", "-o", str(out), *module]
         sidecars.append(await stack.enter_async_context(play.sidecar(known, command)))
-    await asyncio.gather(*(sidecar.target.run(DESIGN_PER_S, PROFILED_S[scale], draws.stream(
-        play.seed, f"profile {sidecar.known}")) for sidecar in sidecars))
+    await asyncio.gather(
+        *(
+            sidecar.target.run(DESIGN_PER_S, PROFILED_S[scale], draws.stream(play.seed, f"profile {sidecar.known}"))
+            for sidecar in sidecars
+        )
+    )
     for sidecar in sidecars:
         sidecar.process.send_signal(signal.SIGTERM)
     loop = asyncio.get_running_loop()
@@ -325,8 +346,10 @@
             actions = balancer.handle(now_us, api.TimerFired(0)) if 0 < due_us <= now_us else []
             actions += balancer.handle(now_us, api.RequestArrived(number, now_us + kind.deadline_us))
             for sent in [action for action in actions if isinstance(action, api.Send)]:
-                actions += balancer.handle(now_us + ALONE_ANSWER_US, api.AttemptEnded(
-                    number, 0, sent.upstream, api.Outcome.OK, ALONE_ANSWER_US, final=True))
+                actions += balancer.handle(
+                    now_us + ALONE_ANSWER_US,
+                    api.AttemptEnded(number, 0, sent.upstream, api.Outcome.OK, ALONE_ANSWER_US, final=True),
+                )
             due_us = next((action.at_us for action in reversed(actions) if isinstance(action, api.SetTimer)), due_us)
         parts.append((time.process_time() - begun_s) * 1e6 / ALONE_CALLS)
     return float(np.median(parts[ALONE_WARM_PARTS:]))
@@ -337,8 +360,9 @@
     play = Play(find_network(), folder, seed)
     async with AsyncExitStack() as stack:
         setup = Setup(play.converters, {known: play.agent(known) for known in KNOWN})
-        child = await stack.enter_async_context(hollow.child(
-            "ryepier.experiments.hollow_converters", [msgspec.json.encode(setup).decode()]))
+        child = await stack.enter_async_context(
+            hollow.child("ryepier.experiments.hollow_converters", [msgspec.json.encode(setup).decode()])
+        )
         await child.hear()
         command = planted.command(plant) if plant else SIDECAR
         found: dict[str, float] = {}
@@ -359,8 +383,10 @@
 def summary(found: Mapping[str, float]) -> dict[str, float]:
     """The lines through the CPU of a call at the rate to design for, and what it comes to. Pure."""
     result: dict[str, float] = {}
-    for name, figure in (("cpu", f"cpu_us_a_call_{DESIGN_PER_S}_per_s_{{}}_known"),
-                         ("module", "module_us_a_call_{}_known")):
+    for name, figure in (
+        ("cpu", f"cpu_us_a_call_{DESIGN_PER_S}_per_s_{{}}_known"),
+        ("module", "module_us_a_call_{}_known"),
+    ):
         line = slopes.fit(KNOWN, [found[figure.format(known)] for known in KNOWN])
         result |= {f"fit_{name}_us_a_call_{key}": float(value) for key, value in msgspec.to_builtins(line).items()}
     name = f"added_p99_ms_{DESIGN_PER_S}_per_s_{DESIGN_KNOWN}_known"
@@ -372,13 +398,20 @@
     """What holds of a call as it stands. Pure."""
     few = KNOWN[0]
     return [
-        Claim(f"share of calls served at {DESIGN_PER_S} a second, {few} known",
-              found[f"served_share_{DESIGN_PER_S}_per_s_{few}_known"], ">=", SERVED),
-        Claim("CPU a call for each further known converter (us)", found["fit_cpu_us_a_call_per_unit"], "<=",
-              MOST_US_A_KNOWN),
+        Claim(
+            f"share of calls served at {DESIGN_PER_S} a second, {few} known",
+            found[f"served_share_{DESIGN_PER_S}_per_s_{few}_known"],
+            ">=",
+            SERVED,
+        ),
+        Claim(
+            "CPU a call for each further known converter (us)",
+            found["fit_cpu_us_a_call_per_unit"],
+            "<=",
+            MOST_US_A_KNOWN,
+        ),
         # a sidecar that can't keep up with its calls spends more on each; the module alone has no such moments
-        Claim("of it, the module's part by itself (us)", found["fit_module_us_a_call_per_unit"], "<=",
-              MOST_US_A_KNOWN),
+        Claim("of it, the module's part by itself (us)", found["fit_module_us_a_call_per_unit"], "<=", MOST_US_A_KNOWN),
     ]
 
 
@@ -395,5 +428,6 @@
     return claims_of(found), finite(found)
 
 
-EXPERIMENTS = (Measured("scale-call", "CPU and added time of a call through a sidecar that knows 30 to 1,600",
-                        perform, ("scan",)),)
+EXPERIMENTS = (
+    Measured("scale-call", "CPU and added time of a call through a sidecar that knows 30 to 1,600", perform, ("scan",)),
+)
--- a/ryepier/experiments/scale_control.py
+++ b/ryepier/experiments/scale_control.py
@@ -32,8 +32,13 @@
 
 DESIGN_FLEET = 1600
 DESIGN_PLANNERS = 7
-BUDGETS = {"planner_cores_needed": 0.5, "planner_resident_bytes": 512e6, "bytes_per_s_with_seven": 3_000.0,
-           "forwarder_cores": 0.022, "forwarder_resident_bytes": 64e6}
+BUDGETS = {
+    "planner_cores_needed": 0.5,
+    "planner_resident_bytes": 512e6,
+    "bytes_per_s_with_seven": 3_000.0,
+    "forwarder_cores": 0.022,
+    "forwarder_resident_bytes": 64e6,
+}
 # by converters in use; with 150, one planner has no core's worth of time for more than 320 forwarders
 SIZES: dict[Scale, dict[int, tuple[int, ...]]] = {
     "small": {30: (50, 100, 200, 400), 150: (10, 20, 40, 80)},
@@ -93,8 +98,10 @@
     return {
         "planner_cores": cpu_s / passed_s,
         "planner_cores_needed": size * REPORTS_PER_S * report_s + TICKS_PER_S * tick_s,
-        "planner_cpu_ms_a_tick": 1000 * tick_s, "planner_cpu_us_a_report": 1e6 * report_s,
-        "planner_ticks_per_s": ticks / passed_s, "planner_reports_per_s": reports / passed_s,
+        "planner_cpu_ms_a_tick": 1000 * tick_s,
+        "planner_cpu_us_a_report": 1e6 * report_s,
+        "planner_ticks_per_s": ticks / passed_s,
+        "planner_reports_per_s": reports / passed_s,
         "planner_wait_share": waited_s / max(1e-9, cpu_s + waited_s),
         "planner_resident_bytes": float(after.used.resident_bytes),
     }
@@ -102,6 +109,7 @@
 
 def forwarder_row(size: int, passed_s: float, before: Sequence[Sample], after: Sequence[Sample]) -> dict[str, float]:
     """What a forwarder sent, got and cost. Pure."""
+
     def per_s(name: str) -> float:
         grown = sum(getattr(late, name) - getattr(early, name) for early, late in zip(before, after, strict=True))
         return float(grown) / passed_s / size
@@ -109,7 +117,9 @@
     out, into = per_s("bytes_out"), per_s("bytes_in")
     beats = into - per_s("plan_bytes")
     return {
-        "plans_per_s": per_s("plans"), "bytes_out_per_s": out, "bytes_in_per_s": into,
+        "plans_per_s": per_s("plans"),
+        "bytes_out_per_s": out,
+        "bytes_in_per_s": into,
         # reports and beats go by each planner, plans by the one that leads
         "bytes_per_s_with_seven": DESIGN_PLANNERS * (out + beats) + (into - beats),
         "forwarder_cores": per_s("cpu_s"),
@@ -170,8 +180,20 @@
     own = plant if plant in planted.PLANNERS_PLANTS else ""
     with open(folder / f"planner-{fleet}.log", "wb") as log:
         process = subprocess.Popen(
-            [sys.executable, "-B", "-m", "ryepier.experiments.gauged_planner", str(gauge), own,
-             "--config", str(config)], stdout=log, stderr=log, env=os.environ)
+            [
+                sys.executable,
+                "-B",
+                "-m",
+                "ryepier.experiments.gauged_planner",
+                str(gauge),
+                own,
+                "--config",
+                str(config),
+            ],
+            stdout=log,
+            stderr=log,
+            env=os.environ,
+        )
     try:
         await until_up(process, address)
         yield PlannerProcess(process.pid, address, gauge)
@@ -221,16 +243,18 @@
         return found
 
 
-async def one_fleet(in_use: int, sizes: Sequence[int], seed: int, scale: Scale, folder: Path, plant: str
-                    ) -> tuple[dict[int, dict[str, float]], dict[str, float]]:
+async def one_fleet(
+    in_use: int, sizes: Sequence[int], seed: int, scale: Scale, folder: Path, plant: str
+) -> tuple[dict[int, dict[str, float]], dict[str, float]]:
     """A fleet that grows: figures by size, and those of the whole."""
     async with AsyncExitStack() as stack:
         planner = await stack.enter_async_context(planner_process(folder, sizes[0], plant))
         workers = []
         for number in range(WORKERS[scale]):
             setup = Setup(planner.address, number, WORKERS[scale], in_use, seed, sizes[0], plant == "whole-reports")
-            child = await stack.enter_async_context(hollow.child(
-                "ryepier.experiments.hollow_forwarders", [msgspec.json.encode(setup).decode()]))
+            child = await stack.enter_async_context(
+                hollow.child("ryepier.experiments.hollow_forwarders", [msgspec.json.encode(setup).decode()])
+            )
             workers.append(child)
         for child in workers:
             await child.hear()
@@ -278,15 +302,27 @@
     few, many = min(rows), max(rows)
     what = f"{in_use} in use, {many} forwarders"
     return [
-        Claim(f"{what}: the planner's wait for a core (share of its time; more: the machine is too busy)",
-              max(row["planner_wait_share"] for row in rows.values()), "<=", MOST_WAIT),
+        Claim(
+            f"{what}: the planner's wait for a core (share of its time; more: the machine is too busy)",
+            max(row["planner_wait_share"] for row in rows.values()),
+            "<=",
+            MOST_WAIT,
+        ),
         Claim(f"{what}: forwarders connected", rows[many]["connected_share"], ">=", 1.0),
         Claim(f"{what}: share of them that the plan rests on", rows[many]["reporters_share"], ">=", 0.99),
-        Claim(f"{what}: cores that the planner needs, growth over linear", growth(rows, "planner_cores_needed"), "<=",
-              GROWTH),
+        Claim(
+            f"{what}: cores that the planner needs, growth over linear",
+            growth(rows, "planner_cores_needed"),
+            "<=",
+            GROWTH,
+        ),
         Claim(f"{what}: planner's memory, growth over linear", growth(rows, "planner_resident_bytes"), "<=", 1.0),
-        Claim(f"{what}: bytes out of a forwarder, over those at {few}",
-              rows[many]["bytes_out_per_s"] / max(1e-9, rows[few]["bytes_out_per_s"]), "<=", SAME_BYTES),
+        Claim(
+            f"{what}: bytes out of a forwarder, over those at {few}",
+            rows[many]["bytes_out_per_s"] / max(1e-9, rows[few]["bytes_out_per_s"]),
+            "<=",
+            SAME_BYTES,
+        ),
         Claim(f"{what}: 95% avoid a hung converter (s)", whole["avoided_after_s"], "<=", FOLLOWED_WITHIN_S),
     ]
 
@@ -306,5 +342,11 @@
     return claims, finite(found)
 
 
-EXPERIMENTS = (Measured("scale-control", "one planner as up to 1,600 hollow forwarders report to it", perform,
-                        ("whole-reports", "recount")),)
+EXPERIMENTS = (
+    Measured(
+        "scale-control",
+        "one planner as up to 1,600 hollow forwarders report to it",
+        perform,
+        ("whole-reports", "recount"),
+    ),
+)
--- a/ryepier/experiments/scale_depth.py
+++ b/ryepier/experiments/scale_depth.py
@@ -45,8 +45,10 @@
         "theory": (1.0 + RETRY_SHARE) ** chain.depth,
         "over_bound": seen.attempts[-1] / chain.calls / bound(chain, chain.calls),
         "attempts_a_call_of_the_last_hop": seen.attempts[-1] / last_first,
-        "served_share": seen.served / chain.calls, "answered_share": seen.answered / chain.calls,
-        "longest_ms": seen.latest_us / 1000, "broken_off": float(seen.broken_off),
+        "served_share": seen.served / chain.calls,
+        "answered_share": seen.answered / chain.calls,
+        "longest_ms": seen.latest_us / 1000,
+        "broken_off": float(seen.broken_off),
     }
 
 
@@ -57,12 +59,17 @@
 
 def runs(seed: int, scale: Scale) -> dict[str, Chain]:
     """By name: each depth and share of failures, and at the greatest depth one bound after another made tighter."""
-    found = {f"{depth}_deep_{failing:g}_failing": chain_of(depth, failing, seed, scale)
-             for failing in FAILING for depth in DEPTHS}
+    found = {
+        f"{depth}_deep_{failing:g}_failing": chain_of(depth, failing, seed, scale)
+        for failing in FAILING
+        for depth in DEPTHS
+    }
     deepest = chain_of(DEPTHS[-1], 0.5, seed, scale)
-    return found | {"unsafe_11_deep_0.5_failing": msgspec.structs.replace(deepest, effect="at_most_once"),
-                    "same_aim_11_deep_0.5_failing": msgspec.structs.replace(deepest, same_aim_us=SAME_AIM_US),
-                    "short_11_deep_0.5_failing": msgspec.structs.replace(deepest, deadline_us=SHORT_US)}
+    return found | {
+        "unsafe_11_deep_0.5_failing": msgspec.structs.replace(deepest, effect="at_most_once"),
+        "same_aim_11_deep_0.5_failing": msgspec.structs.replace(deepest, same_aim_us=SAME_AIM_US),
+        "short_11_deep_0.5_failing": msgspec.structs.replace(deepest, deadline_us=SHORT_US),
+    }
 
 
 def summary(rows: Mapping[str, Mapping[str, float]]) -> dict[str, float]:
@@ -73,8 +80,10 @@
         values = [math.log(rows[f"{depth}_deep_{failing:g}_failing"]["attempts_a_call"]) for depth in DEPTHS]
         line = slopes.fit(DEPTHS, values)
         found[f"factor_a_hop_{failing:g}_failing"] = math.exp(line.per_unit)
-        found |= {f"fit_log_attempts_{failing:g}_failing_{key}": float(value)
-                  for key, value in msgspec.to_builtins(line).items()}
+        found |= {
+            f"fit_log_attempts_{failing:g}_failing_{key}": float(value)
+            for key, value in msgspec.to_builtins(line).items()
+        }
     return found
 
 
@@ -82,12 +91,21 @@
     """Pure."""
     return [
         Claim("runs broken off, as attempts had no end", sum(each["broken_off"] for each in rows.values()), "==", 0),
-        Claim("least share of calls that had an answer", min(each["answered_share"] for each in rows.values()),
-              ">=", 1.0),
-        Claim("attempts at the last service over what the hops' budgets allow, the most of all runs",
-              max(each["over_bound"] for each in rows.values()), "<=", 1.0),
-        Claim("attempts at the last service for a call of a class that is never sent twice",
-              rows["unsafe_11_deep_0.5_failing"]["attempts_a_call"], "<=", 1.0),
+        Claim(
+            "least share of calls that had an answer", min(each["answered_share"] for each in rows.values()), ">=", 1.0
+        ),
+        Claim(
+            "attempts at the last service over what the hops' budgets allow, the most of all runs",
+            max(each["over_bound"] for each in rows.values()),
+            "<=",
+            1.0,
+        ),
+        Claim(
+            "attempts at the last service for a call of a class that is never sent twice",
+            rows["unsafe_11_deep_0.5_failing"]["attempts_a_call"],
+            "<=",
+            1.0,
+        ),
     ]
 
 
@@ -99,5 +117,11 @@
     return claims_of(rows), summary(rows)
 
 
-EXPERIMENTS = (Measured("scale-depth", "attempts at the last of up to 11 services that call each other, while it fails",
-                        perform, ("no-budget",)),)
+EXPERIMENTS = (
+    Measured(
+        "scale-depth",
+        "attempts at the last of up to 11 services that call each other, while it fails",
+        perform,
+        ("no-budget",),
+    ),
+)
--- a/ryepier/experiments/scale_fail.py
+++ b/ryepier/experiments/scale_fail.py
@@ -45,8 +45,10 @@
 
 def needs(scale: Scale) -> Needs:
     """The larger of the two parts, which follow one another."""
-    own = max(count * (SIDECAR_BYTES + known * CONVERTER_BYTES)
-              for count, known in ((LISTENERS[scale], KNOWN), (FLEETS[scale][-1], FLEET_KNOWS)))
+    own = max(
+        count * (SIDECAR_BYTES + known * CONVERTER_BYTES)
+        for count, known in ((LISTENERS[scale], KNOWN), (FLEETS[scale][-1], FLEET_KNOWS))
+    )
     return Needs(1 + PROCESSES, (1 + PROCESSES) * PROCESS_BYTES + own, sockets=FLEETS[scale][-1])
 
 
@@ -89,13 +91,17 @@
             desk.tell_all()
         said = await self.settled()
         found = {
-            "stand_in_cpu_s": hollow.own_usage().since(own), "bytes": (desk.bytes - wrote) / self.count,
+            "stand_in_cpu_s": hollow.own_usage().since(own),
+            "bytes": (desk.bytes - wrote) / self.count,
             "last_s": (max(one["last_us"] for one in said) - begun_us) / 1e6,
-            "cpu_ms": 1000 * sum(late["cpu_s"] - early["cpu_s"] for early, late in zip(before, said, strict=True))
+            "cpu_ms": 1000
+            * sum(late["cpu_s"] - early["cpu_s"] for early, late in zip(before, said, strict=True))
             / self.count,
             "told": sum(late["entries"] - early["entries"] for early, late in zip(before, said, strict=True))
-            / self.count / changes,
-            "still_ready": sum(one["known"] for one in await self.ask("memory")) / self.count - self.known + changes}
+            / self.count
+            / changes,
+            "still_ready": sum(one["known"] for one in await self.ask("memory")) / self.count - self.known + changes,
+        }
         listing.change(chosen, "left")
         listing.change([listing.new() for _ in chosen])
         desk.tell_all()
@@ -111,8 +117,12 @@
     await desk.open()
     try:
         async with AsyncExitStack() as stack:
-            children = [await stack.enter_async_context(
-                hollow.child(MODULE, [host, str(PORT), str(seed * PROCESSES + i), plant])) for i in range(PROCESSES)]
+            children = [
+                await stack.enter_async_context(
+                    hollow.child(MODULE, [host, str(PORT), str(seed * PROCESSES + i), plant])
+                )
+                for i in range(PROCESSES)
+            ]
             for child in children:
                 await child.hear()
             yield Fleet(desk, children, known)
@@ -149,16 +159,21 @@
     """What the whole fleet costs: one core of discovery writes to all, and each sidecar reads on a core of its own."""
     singly, together = line(found, "burst_cpu_ms", BURSTS), line(found, "together_cpu_ms", BURSTS)
     one_by_one, at_once = (line(found, f"{name}_stand_in_cpu_s", FLEETS[scale]) for name in ("zone", "zone_together"))
-    result = {"change_cpu_us": singly.per_unit * 1000, "change_residual": singly.relative_residual,
-              "message_us": one_by_one.per_unit * 1e6 / ZONE}
+    result = {
+        "change_cpu_us": singly.per_unit * 1000,
+        "change_residual": singly.relative_residual,
+        "message_us": one_by_one.per_unit * 1e6 / ZONE,
+    }
     for name, size, sidecars in (("rack", RACK, FLEET), ("zone", ZONE, FLEET), ("region", REGION, FLEET - REGION)):
         result |= {
-            f"{name}_messages": float(size * sidecars), f"{name}_mb": found[f"burst_bytes_{size}"] * sidecars / 1e6,
+            f"{name}_messages": float(size * sidecars),
+            f"{name}_mb": found[f"burst_bytes_{size}"] * sidecars / 1e6,
             f"{name}_sidecar_ms": singly.at(size).value,
             f"{name}_singly_last_s": one_by_one.per_unit * sidecars * size / ZONE + singly.at(size).value / 1000,
             # hazard: a longer message takes longer to write; as if all of it grew with the changes
             f"{name}_together_last_s": at_once.per_unit * sidecars * max(1.0, size / ZONE)
-            + together.at(size).value / 1000}
+            + together.at(size).value / 1000,
+        }
     return result
 
 
@@ -170,12 +185,24 @@
         Claim("changes that a module was told, of one, most", max(told), "==", 1),
         Claim("converters that drain and that a module still has for ready, most", max(ready), "==", 0),
         Claim("largest residual of CPU by changes over the largest value", found["change_residual"], "<=", 0.25),
-        Claim("until the last of 1,600 has a rack's changes told singly, by calculation (s)",
-              found["rack_singly_last_s"], "<=", IN_FORCE_S),
-        Claim("until the last of 1,600 has a zone's changes told together, by calculation (s)",
-              found["zone_together_last_s"], "<=", IN_FORCE_S),
-        Claim("CPU of a zone's changes in a sidecar (ms of its budget for 6 s)", found["zone_sidecar_ms"], "<=",
-              BUDGET_CORES * IN_FORCE_S * 1000),
+        Claim(
+            "until the last of 1,600 has a rack's changes told singly, by calculation (s)",
+            found["rack_singly_last_s"],
+            "<=",
+            IN_FORCE_S,
+        ),
+        Claim(
+            "until the last of 1,600 has a zone's changes told together, by calculation (s)",
+            found["zone_together_last_s"],
+            "<=",
+            IN_FORCE_S,
+        ),
+        Claim(
+            "CPU of a zone's changes in a sidecar (ms of its budget for 6 s)",
+            found["zone_sidecar_ms"],
+            "<=",
+            BUDGET_CORES * IN_FORCE_S * 1000,
+        ),
     ]
 
 
@@ -187,5 +214,8 @@
     return claims(found), found
 
 
-EXPERIMENTS = (Measured("scale-fail", "the loss of a rack, a zone, a region: the list's messages, CPU and time",
-                        perform, ("deaf",)),)
+EXPERIMENTS = (
+    Measured(
+        "scale-fail", "the loss of a rack, a zone, a region: the list's messages, CPU and time", perform, ("deaf",)
+    ),
+)
--- a/ryepier/experiments/scale_list.py
+++ b/ryepier/experiments/scale_list.py
@@ -77,8 +77,7 @@
     """The larger of the two parts, which follow one another."""
     first = len(KNOWN) * PROCESS_BYTES + SIDECARS[scale] * sum(SIDECAR_BYTES + n * CONVERTER_BYTES for n in KNOWN)
     fleet = FLEETS[scale][-1]
-    second = (FLEET_PROCESSES * PROCESS_BYTES
-              + fleet * (SIDECAR_BYTES + FLEET_KNOWS[scale] * CONVERTER_BYTES))
+    second = FLEET_PROCESSES * PROCESS_BYTES + fleet * (SIDECAR_BYTES + FLEET_KNOWS[scale] * CONVERTER_BYTES)
     return Needs(1 + max(len(KNOWN), FLEET_PROCESSES), PROCESS_BYTES + max(first, second), sockets=fleet)
 
 
@@ -112,8 +111,11 @@
     after = await one.child.ask("memory")
     if after["known"] != one.count * one.known:
         raise RigError(f"{after['known']} converters known, not {one.count * one.known}")
-    return {"list_bytes": data, "start_cpu_ms": cpu_s * 1000,
-            "memory_bytes": (after["resident_bytes"] - before["resident_bytes"]) / one.count}
+    return {
+        "list_bytes": data,
+        "start_cpu_ms": cpu_s * 1000,
+        "memory_bytes": (after["resident_bytes"] - before["resident_bytes"]) / one.count,
+    }
 
 
 async def change_singly(one: Group, count: int) -> Figures:
@@ -132,9 +134,12 @@
     heard = {int(version): at_us for version, at_us in (await one.child.ask("late"))["last_us"].items()}
     late_ms = [(heard[version] - at_us) / 1000 for version, at_us in told_us.items() if version in heard]
     after = await one.child.ask("usage")
-    return {"change_cpu_us": cpu_s * 1e6 / count, "change_bytes": data / count,
-            "change_late_ms": max(late_ms, default=float("inf")),
-            "entries_a_change": (after["entries"] - before["entries"]) / count / one.count}
+    return {
+        "change_cpu_us": cpu_s * 1e6 / count,
+        "change_bytes": data / count,
+        "change_late_ms": max(late_ms, default=float("inf")),
+        "entries_a_change": (after["entries"] - before["entries"]) / count / one.count,
+    }
 
 
 async def zone_goes(one: Group) -> Figures:
@@ -151,8 +156,12 @@
     singly_s, singly = await one.cost(listing.registry.rev, before, wrote)
     listing.change([listing.new() for _ in chosen])
     await one.settled(one.desk.tell_all())
-    return {"zone_together_cpu_ms": together_s * 1000, "zone_together_bytes": together,
-            "zone_singly_cpu_ms": singly_s * 1000, "zone_singly_bytes": singly}
+    return {
+        "zone_together_cpu_ms": together_s * 1000,
+        "zone_together_bytes": together,
+        "zone_singly_cpu_ms": singly_s * 1000,
+        "zone_singly_bytes": singly,
+    }
 
 
 async def come_again(one: Group) -> Figures:
@@ -177,17 +186,23 @@
     before, wrote = [await one.child.ask("usage") for one in groups], [one.desk.bytes for one in groups]
     await asyncio.sleep(for_s)
     after = [await one.child.ask("usage") for one in groups]
-    return [{"idle_cores": (late["cpu_s"] - early["cpu_s"]) / one.count / for_s,
-             "idle_bytes_per_s": (one.desk.bytes - data) / one.count / for_s}
-            for one, early, late, data in zip(groups, before, after, wrote, strict=True)]
+    return [
+        {
+            "idle_cores": (late["cpu_s"] - early["cpu_s"]) / one.count / for_s,
+            "idle_bytes_per_s": (one.desk.bytes - data) / one.count / for_s,
+        }
+        for one, early, late, data in zip(groups, before, after, wrote, strict=True)
+    ]
 
 
 async def by_known(seed: int, scale: Scale, plant: str) -> dict[int, Figures]:
     """All sizes: each part of them one after another, but for the idle one."""
     host = f"127.{find_network()}.254.2"
     async with AsyncExitStack() as stack:
-        groups = [await stack.enter_async_context(group(host, index, known, SIDECARS[scale], seed, plant))
-                  for index, known in enumerate(KNOWN)]
+        groups = [
+            await stack.enter_async_context(group(host, index, known, SIDECARS[scale], seed, plant))
+            for index, known in enumerate(KNOWN)
+        ]
         rows = {one.known: await come_up(one) for one in groups}
         for one, idle in zip(groups, await stand_idle(groups, IDLE_S[scale]), strict=True):
             rows[one.known] |= idle
@@ -220,13 +235,18 @@
     back_cpu_s = sum(late["cpu_s"] - early["cpu_s"] for early, late in zip(away, said, strict=True))
     stand_in_s = hollow.own_usage().since(own)
     away_s = [late["cpu_s"] - early["cpu_s"] for early, late in zip(before, away, strict=True)]
-    return {"back": sum(one["have"] for one in said) / count, "calls": float(len(desk.calls_us)),
-            "bytes": float(desk.bytes), "stand_in_cpu_s": stand_in_s, "cpu_ms": 1000 * back_cpu_s / count,
-            # as if each sidecar had a core: its next dial, discovery's writing to all, and its own list
-            "back_alone_s": WATCH_AGAIN_S + stand_in_s + back_cpu_s / count,
-            "back_after_s": (max(one["last_us"] for one in said) - back_us) / 1e6,
-            "peak_share": float(inside.max(initial=0)) / count,
-            "away_cores": max(away_s) / each / OUTAGE_S}
+    return {
+        "back": sum(one["have"] for one in said) / count,
+        "calls": float(len(desk.calls_us)),
+        "bytes": float(desk.bytes),
+        "stand_in_cpu_s": stand_in_s,
+        "cpu_ms": 1000 * back_cpu_s / count,
+        # as if each sidecar had a core: its next dial, discovery's writing to all, and its own list
+        "back_alone_s": WATCH_AGAIN_S + stand_in_s + back_cpu_s / count,
+        "back_after_s": (max(one["last_us"] for one in said) - back_us) / 1e6,
+        "peak_share": float(inside.max(initial=0)) / count,
+        "away_cores": max(away_s) / each / OUTAGE_S,
+    }
 
 
 async def by_fleet(seed: int, scale: Scale, plant: str) -> dict[int, Figures]:
@@ -237,8 +257,10 @@
     rows: dict[int, Figures] = {}
     try:
         async with AsyncExitStack() as stack:
-            children = [await stack.enter_async_context(hollow.child(MODULE, [host, str(PORT), str(seed + i)]))
-                        for i in range(FLEET_PROCESSES)]
+            children = [
+                await stack.enter_async_context(hollow.child(MODULE, [host, str(PORT), str(seed + i)]))
+                for i in range(FLEET_PROCESSES)
+            ]
             for child in children:
                 await child.hear()
             there = 0
@@ -246,8 +268,12 @@
                 more = (count - there) // len(children)
                 await asyncio.gather(*(child.ask("start", count=more) for child in children))
                 there = count
-                said = await asyncio.gather(*(child.ask(
-                    "until", version=desk.listing.registry.rev, within_s=BACK_WITHIN_S) for child in children))
+                said = await asyncio.gather(
+                    *(
+                        child.ask("until", version=desk.listing.registry.rev, within_s=BACK_WITHIN_S)
+                        for child in children
+                    )
+                )
                 if sum(one["have"] for one in said) < count:
                     raise RigError(f"{count} hollow sidecars did not come up")
                 rows[count] = await outage(count, desk, children)
@@ -268,13 +294,18 @@
     most = rows[KNOWN[-1]]
     a_second = CHANGES_A_DAY / DAY_S
     memory, again = fits("memory_bytes", rows), fits("again_cpu_ms", rows)
-    return {"base_mb": base_mb, "sidecar_mb": base_mb + memory.at(KNOWN[-1]).value / MB,
-            "memory_bytes_a_converter": memory.per_unit, "memory_residual": memory.relative_residual,
-            "again_cpu_us_a_converter": again.per_unit * 1000, "again_residual": again.relative_residual,
-            "change_cpu_us_a_converter": fits("change_cpu_us", rows).per_unit,
-            "zone_cpu_us_a_change": most["zone_singly_cpu_ms"] * 1000 / (KNOWN[-1] // ZONE),
-            "day_cores": most["idle_cores"] + a_second * most["change_cpu_us"] / 1e6,
-            "day_bytes_per_s": most["idle_bytes_per_s"] + a_second * most["change_bytes"]}
+    return {
+        "base_mb": base_mb,
+        "sidecar_mb": base_mb + memory.at(KNOWN[-1]).value / MB,
+        "memory_bytes_a_converter": memory.per_unit,
+        "memory_residual": memory.relative_residual,
+        "again_cpu_us_a_converter": again.per_unit * 1000,
+        "again_residual": again.relative_residual,
+        "change_cpu_us_a_converter": fits("change_cpu_us", rows).per_unit,
+        "zone_cpu_us_a_change": most["zone_singly_cpu_ms"] * 1000 / (KNOWN[-1] // ZONE),
+        "day_cores": most["idle_cores"] + a_second * most["change_cpu_us"] / 1e6,
+        "day_bytes_per_s": most["idle_bytes_per_s"] + a_second * most["change_bytes"],
+    }
 
 
 def claims(rows: Mapping[int, Figures], fleets: Mapping[int, Figures], found: Figures) -> list[Claim]:
@@ -285,14 +316,19 @@
         Claim("cores for a day's changes, 1,600 known", found["day_cores"], "<=", BUDGET_CORES),
         Claim("bytes a second for a day's changes, 1,600 known", found["day_bytes_per_s"], "<=", BUDGET_BYTES_PER_S),
         Claim("bytes of one change", most["change_bytes"], "<=", 500),
-        Claim("from a change to the last module that has it, most (s)", most["change_late_ms"] / 1000, "<=",
-              IN_FORCE_S),
+        Claim(
+            "from a change to the last module that has it, most (s)", most["change_late_ms"] / 1000, "<=", IN_FORCE_S
+        ),
         Claim("changes that each module was told, of one", most["entries_a_change"], "==", 1),
         Claim("bytes of a watch that broke and missed one change", most["break_bytes"], "<=", 1000),
         Claim(f"share of {max(fleets)} that have the list again after an outage", fleet["back"], "==", 1),
         Claim("calls a sidecar for it", fleet["calls"] / max(fleets), "<=", 1.1),
-        Claim("until the last has it, each sidecar on a core of its own, by calculation (s)", fleet["back_alone_s"],
-              "<=", IN_FORCE_S),
+        Claim(
+            "until the last has it, each sidecar on a core of its own, by calculation (s)",
+            fleet["back_alone_s"],
+            "<=",
+            IN_FORCE_S,
+        ),
     ]
 
 
@@ -310,5 +346,8 @@
     return claims(rows, fleets, found), figures | found | busy
 
 
-EXPERIMENTS = (Measured("scale-list", "the list in a sidecar and at discovery, up to 1,600 known converters", perform,
-                        ("no-revisions",)),)
+EXPERIMENTS = (
+    Measured(
+        "scale-list", "the list in a sidecar and at discovery, up to 1,600 known converters", perform, ("no-revisions",)
+    ),
+)
