--- a/ryepier/experiments/simulation.py
+++ b/ryepier/experiments/simulation.py
@@ -31,10 +31,14 @@
     """What is compared of a run."""
     orders = figures.orders(world, history.tries)
     latencies = figures.histogram(orders)
-    return {"service": figures.service(orders), "p50_ms": latencies.get_value_at_percentile(50) / 1000,
-            "p99_ms": latencies.get_value_at_percentile(99) / 1000,
-            "attempts_per_try": len(history.attempts) / max(1, len(history.tries)),
-            "tries": len(history.tries), "breaches": len(judge.judge(world, history))}
+    return {
+        "service": figures.service(orders),
+        "p50_ms": latencies.get_value_at_percentile(50) / 1000,
+        "p99_ms": latencies.get_value_at_percentile(99) / 1000,
+        "attempts_per_try": len(history.attempts) / max(1, len(history.tries)),
+        "tries": len(history.tries),
+        "breaches": len(judge.judge(world, history)),
+    }
 
 
 def _ratio(one: float, other: float) -> float:
@@ -59,9 +63,14 @@
             Claim(f"{name}: service apart (points)", 100 * abs(real["service"] - virtual["service"]), "<=", points),
             Claim(f"{name}: p50 apart (ratio)", _ratio(real["p50_ms"], virtual["p50_ms"]), "<=", LATENCY_RATIO["p50"]),
             Claim(f"{name}: p99 apart (ratio)", _ratio(real["p99_ms"], virtual["p99_ms"]), "<=", LATENCY_RATIO["p99"]),
-            Claim(f"{name}: attempts a try apart (ratio)", _ratio(
-                real["attempts_per_try"], virtual["attempts_per_try"]), "<=", TRIES_RATIO),
-            Claim(f"{name}: breaches, both", real["breaches"] + virtual["breaches"], "==", 0)]
+            Claim(
+                f"{name}: attempts a try apart (ratio)",
+                _ratio(real["attempts_per_try"], virtual["attempts_per_try"]),
+                "<=",
+                TRIES_RATIO,
+            ),
+            Claim(f"{name}: breaches, both", real["breaches"] + virtual["breaches"], "==", 0),
+        ]
     return claims, found
 
 
@@ -69,8 +78,13 @@
     """The steady world with so many sidecars, all the traffic spread over them; one of them is killed."""
     replace, world = msgspec.structs.replace, load("steady")
     faults = [Fault(kind="sidecar-kill", at_s=lasts_s / 2, down_s=0.5, index=0)]
-    return replace(world, duration_s=lasts_s, sidecars=replace(world.sidecars, count=sidecars),
-                   clients=replace(world.clients, rate_per_s=RATE_PER_S, ramp_to_per_s=0.0), faults=faults)
+    return replace(
+        world,
+        duration_s=lasts_s,
+        sidecars=replace(world.sidecars, count=sidecars),
+        clients=replace(world.clients, rate_per_s=RATE_PER_S, ramp_to_per_s=0.0),
+        faults=faults,
+    )
 
 
 def measure_speed(seed: int, scale: Scale, folder: Path, plant: str) -> tuple[list[Claim], Mapping[str, float]]:
@@ -84,17 +98,23 @@
         speed = world.duration_s / (time.monotonic() - begun)
         got = seen(world, history)
         found |= {f"speed_{sidecars}": speed, **{f"{key}_{sidecars}": value for key, value in got.items()}}
-        claims += [Claim(f"breaches with {sidecars} sidecars", got["breaches"], "==", 0),
-                   Claim(f"service with {sidecars} sidecars", got["service"], ">=", 0.95)]
+        claims += [
+            Claim(f"breaches with {sidecars} sidecars", got["breaches"], "==", 0),
+            Claim(f"service with {sidecars} sidecars", got["service"], ">=", 0.95),
+        ]
         if sidecars in LEAST_SPEED:
-            claims.append(Claim(f"simulated seconds a second with {sidecars} sidecars", speed, ">=",
-                                LEAST_SPEED[sidecars]))
+            claims.append(
+                Claim(f"simulated seconds a second with {sidecars} sidecars", speed, ">=", LEAST_SPEED[sidecars])
+            )
     return claims, found
 
 
 EXPERIMENTS = (
-    Measured("sim-agreement", "five worlds on sockets and in simulation, figures beside each other", compare,
-             ("blind", "hold")),
-    Measured("sim-speed", "simulated seconds a second at 5, 50 and 500 sidecars (full: 3,000 too)", measure_speed,
-             ()),
+    Measured(
+        "sim-agreement",
+        "five worlds on sockets and in simulation, figures beside each other",
+        compare,
+        ("blind", "hold"),
+    ),
+    Measured("sim-speed", "simulated seconds a second at 5, 50 and 500 sidecars (full: 3,000 too)", measure_speed, ()),
 )
--- a/ryepier/experiments/slicing.py
+++ b/ryepier/experiments/slicing.py
@@ -43,8 +43,9 @@
     fault = _fault(run, "release")
     steps = timeline.build(run.world, run.seed).steps
     fresh = {step.uid for step in steps if step.verb is Verb.START}
-    early = {step.uid for step in steps
-             if step.verb is Verb.START and step.at_us < (run.world.duration_s - WARM_BY_S) * 1e6}
+    early = {
+        step.uid for step in steps if step.verb is Verb.START and step.at_us < (run.world.duration_s - WARM_BY_S) * 1e6
+    }
     ended = {notice.uid for notice in run.history.told if notice.state == "leaving"}
     told = {(notice.sidecar, notice.uid) for notice in run.history.told if notice.state == "leaving"}
     reached = {attempt.uid for attempt in run.history.attempts} & early
@@ -52,8 +53,12 @@
     return [
         Claim("converters seen terminating", len(ended), ">=", 200),
         Claim("terminations told to a sidecar", len(told), ">=", 0.95 * len(fresh) * run.world.sidecars.count),
-        Claim(f"share in use of the converters that came up {WARM_BY_S:g} s before the end",
-              len(reached) / max(1, len(early)), ">=", 0.95),
+        Claim(
+            f"share in use of the converters that came up {WARM_BY_S:g} s before the end",
+            len(reached) / max(1, len(early)),
+            ">=",
+            0.95,
+        ),
         Claim("service during the release", figures.service(run.orders, during), ">=", 0.97),
     ]
 
@@ -79,12 +84,20 @@
     end_s, again_s = fault.at_s + fault.for_s, back_in_step_s(run)
     after = figures.between(min(end_s + again_s + 0.5, run.world.duration_s - 1.0), run.world.duration_s)
     return [
-        Claim("service while the API server is away", figures.service(run.orders, figures.between(
-            fault.at_s, end_s)), ">=", 0.97),
+        Claim(
+            "service while the API server is away",
+            figures.service(run.orders, figures.between(fault.at_s, end_s)),
+            ">=",
+            0.97,
+        ),
         Claim("time until all sidecars have the new list (s)", again_s, "<=", 11.0),
         Claim("service from then on", figures.service(run.orders, after), ">=", 0.98),
-        Claim("share of attempts to converters that are gone, from then on", _to_the_gone(run, end_s + again_s + 0.5),
-              "<=", 0.0),
+        Claim(
+            "share of attempts to converters that are gone, from then on",
+            _to_the_gone(run, end_s + again_s + 0.5),
+            "<=",
+            0.0,
+        ),
     ]
 
 
@@ -105,9 +118,13 @@
 
 
 def endpoint(pod: int, leaving: bool = False) -> Object:
-    return {"addresses": [address_of(pod)], "nodeName": f"node-{pod % 50}", "zone": "a",
-            "conditions": {"ready": not leaving, "serving": True, "terminating": leaving},
-            "targetRef": {"kind": "Pod", "namespace": "default", "name": f"convert-{pod}", "uid": f"pod-{pod}"}}
+    return {
+        "addresses": [address_of(pod)],
+        "nodeName": f"node-{pod % 50}",
+        "zone": "a",
+        "conditions": {"ready": not leaving, "serving": True, "terminating": leaving},
+        "targetRef": {"kind": "Pod", "namespace": "default", "name": f"convert-{pod}", "uid": f"pod-{pod}"},
+    }
 
 
 class Churn:
@@ -123,8 +140,11 @@
             self.put(index)
 
     def put(self, index: int) -> None:
-        content = {"addressType": "IPv4", "endpoints": self.slices[index],
-                   "ports": [{"name": "http", "port": 80, "protocol": "TCP"}]}
+        content = {
+            "addressType": "IPv4",
+            "endpoints": self.slices[index],
+            "ports": [{"name": "http", "port": 80, "protocol": "TCP"}],
+        }
         self.store.put("default", f"{SERVICE}-{index:04d}", content, {SERVICE_LABEL: SERVICE})
 
     def step(self, turn: int) -> None:
@@ -150,8 +170,17 @@
     api = ApiServer(world.store)
     port = await api.listen("127.0.0.1", 0)
     child = await asyncio.create_subprocess_exec(
-        sys.executable, "-B", "-m", "ryepier.experiments.churn_follower", str(port), SERVICE, plant,
-        stdin=subprocess.PIPE, stdout=subprocess.PIPE, limit=64 * 1024 * 1024)
+        sys.executable,
+        "-B",
+        "-m",
+        "ryepier.experiments.churn_follower",
+        str(port),
+        SERVICE,
+        plant,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        limit=64 * 1024 * 1024,
+    )
     assert child.stdout is not None and child.stdin is not None
     try:
         async with asyncio.timeout(UP_WITHIN_S):
@@ -178,9 +207,14 @@
     late_us = [heard[what] - at_us for what, at_us in world.changed_us.items() if what in heard]
     if not late_us:
         raise RigError("the follower heard of nothing")
-    return {"told": len(late_us) / len(world.changed_us), "p50_ms": float(np.percentile(late_us, 50)) / 1000,
-            "p99_ms": float(np.percentile(late_us, 99)) / 1000, "resident_mb": said["resident_kib"] / 1024,
-            "peak_mb": said["peak_kib"] / 1024, "cpu_ms_a_change": said["cpu_us"] / 1000 / len(world.changed_us)}
+    return {
+        "told": len(late_us) / len(world.changed_us),
+        "p50_ms": float(np.percentile(late_us, 50)) / 1000,
+        "p99_ms": float(np.percentile(late_us, 99)) / 1000,
+        "resident_mb": said["resident_kib"] / 1024,
+        "peak_mb": said["peak_kib"] / 1024,
+        "cpu_ms_a_change": said["cpu_us"] / 1000 / len(world.changed_us),
+    }
 
 
 def perform_churn(seed: int, scale: Scale, folder: Path, plant: str) -> tuple[list[Claim], Mapping[str, float]]:
@@ -190,8 +224,9 @@
     few, many = (rows[size] for size in SIZES)
     found["p50_growth"] = many["p50_ms"] / few["p50_ms"]
     found["cpu_growth"] = many["cpu_ms_a_change"] / few["cpu_ms_a_change"]
-    claims = [Claim(f"share of changes that the module heard of, {size}", rows[size]["told"], ">=", 1.0)
-              for size in SIZES]
+    claims = [
+        Claim(f"share of changes that the module heard of, {size}", rows[size]["told"], ">=", 1.0) for size in SIZES
+    ]
     claims += [
         Claim("from change to module event, p99 at 1,000 endpoints (ms)", few["p99_ms"], "<=", 30),
         Claim("from change to module event, p99 at 10,000 endpoints (ms)", many["p99_ms"], "<=", 60),
@@ -202,10 +237,26 @@
 
 
 EXPERIMENTS = (
-    Experiment("slices-drain", "204 converters are replaced; a third of the drains come with contradicting slices",
-               lambda scale: load("slices-drain"), _drain_claims, ("last-writer",)),
-    Experiment("slices-outage", "the API server is away for 10 s and comes back compacted, converters going meanwhile",
-               lambda scale: load("slices-outage"), _outage_claims, ("never-again",)),
+    Experiment(
+        "slices-drain",
+        "204 converters are replaced; a third of the drains come with contradicting slices",
+        lambda scale: load("slices-drain"),
+        _drain_claims,
+        ("last-writer",),
+    ),
+    Experiment(
+        "slices-outage",
+        "the API server is away for 10 s and comes back compacted, converters going meanwhile",
+        lambda scale: load("slices-outage"),
+        _outage_claims,
+        ("never-again",),
+    ),
+)
+MEASURED = (
+    Measured(
+        "slices-churn",
+        "time from a change to the module's event at 1,000 and 10,000 endpoints",
+        perform_churn,
+        ("whole-list",),
+    ),
 )
-MEASURED = (Measured("slices-churn", "time from a change to the module's event at 1,000 and 10,000 endpoints",
-                     perform_churn, ("whole-list",)),)
--- a/ryepier/experiments/slopes.py
+++ b/ryepier/experiments/slopes.py
@@ -52,8 +52,14 @@
     (per_unit, intercept), *_ = np.linalg.lstsq(np.column_stack((x, np.ones_like(x))), y)
     residual = float(np.abs(y - (intercept + per_unit * x)).max())
     largest = float(np.abs(y).max())
-    return Slope(float(per_unit), float(intercept), residual, residual / largest if largest else 0.0,
-                 float(x.min()), float(x.max()))
+    return Slope(
+        float(per_unit),
+        float(intercept),
+        residual,
+        residual / largest if largest else 0.0,
+        float(x.min()),
+        float(x.max()),
+    )
 
 
 def spread(values: Sequence[float]) -> Spread:
--- a/ryepier/experiments/storms.py
+++ b/ryepier/experiments/storms.py
@@ -64,8 +64,9 @@
     """Of the first tries, or of the later ones, from the outage's end until service is back."""
     _, end_s = outage_s(run)
     until_s = end_s + max(2.0, back_after_s(run))
-    chosen = [item for item in run.history.tries
-              if (item.number > 0) is later and end_s * 1e6 <= item.sent_us < until_s * 1e6]
+    chosen = [
+        item for item in run.history.tries if (item.number > 0) is later and end_s * 1e6 <= item.sent_us < until_s * 1e6
+    ]
     return sum(item.ending == "refused" for item in chosen) / max(1, len(chosen))
 
 
@@ -76,8 +77,11 @@
     for item in run.history.tries:
         if item.ending == "refused" and item.retry_after_us:
             groups.setdefault((item.sidecar, item.ended_us // TICK_US, min(item.number, 1)), []).append(item)
-    shares = [max(Counter(item.retry_after_us // BIN_US for item in group).values()) / len(group)
-              for group in groups.values() if len(group) >= LEAST_TOLD]
+    shares = [
+        max(Counter(item.retry_after_us // BIN_US for item in group).values()) / len(group)
+        for group in groups.values()
+        if len(group) >= LEAST_TOLD
+    ]
     return float(np.mean(shares)) if shares else 1.0
 
 
@@ -88,8 +92,11 @@
 
 def _storm_figures(run: Run) -> Mapping[str, float]:
     assert run.other is not None
-    result = {"storms_opened": float(opened(run)), "advice_alike": advice_alike(run),
-              "advice_alike_without": advice_alike(run.other)}
+    result = {
+        "storms_opened": float(opened(run)),
+        "advice_alike": advice_alike(run),
+        "advice_alike_without": advice_alike(run.other),
+    }
     for name, one in (("with", run), ("without", run.other)):
         result[f"back_after_s_{name}"] = back_after_s(one)
         result[f"refused_first_{name}"] = refused_share(one, later=False)
@@ -99,7 +106,8 @@
         _, end_s = outage_s(one)
         result[f"service_after_{name}"] = figures.service(one.orders, figures.between(end_s, one.world.duration_s))
     result["recovery_ratio"] = max(WINDOW_S / 2, result["back_after_s_with"]) / max(
-        WINDOW_S / 2, result["back_after_s_without"])
+        WINDOW_S / 2, result["back_after_s_without"]
+    )
     return result
 
 
@@ -109,22 +117,35 @@
     before = figures.between(1.0, begin_s - 3.0)  # what comes later may be lost to the outage
     return [
         Claim("service before the outage", figures.service(run.orders, before), ">=", 0.97),
-        Claim("time until service is back (s)", got["back_after_s_with"], "<=", BACK_WITHIN_S[
-            end_s - begin_s >= LONG_OUTAGE_S]),
+        Claim(
+            "time until service is back (s)",
+            got["back_after_s_with"],
+            "<=",
+            BACK_WITHIN_S[end_s - begin_s >= LONG_OUTAGE_S],
+        ),
         Claim("sidecars' guards that opened", got["storms_opened"], ">=", run.world.sidecars.count),
-        Claim("share refused of first tries over that of later ones", got["refused_first_with"] / max(
-            1e-6, got["refused_later_with"]), "<=", 1.0),
+        Claim(
+            "share refused of first tries over that of later ones",
+            got["refused_first_with"] / max(1e-6, got["refused_later_with"]),
+            "<=",
+            1.0,
+        ),
         Claim("share of refusals of one moment told the same", got["advice_alike"], "<=", 0.5),
-        Claim("service after the outage lost to the guard (points)", 100 * (
-            got["service_after_without"] - got["service_after_with"]), "<=", 2.0),
+        Claim(
+            "service after the outage lost to the guard (points)",
+            100 * (got["service_after_without"] - got["service_after_with"]),
+            "<=",
+            2.0,
+        ),
     ]
 
 
 def _storm_world(backoff: str, obedient: float, outage_s: float = OUTAGES_S[0]) -> Callable[[Scale], World]:
     def world(scale: Scale) -> World:
         made, replace = load("retry-storm"), msgspec.structs.replace
-        clients = msgspec.convert(msgspec.to_builtins(made.clients) | {
-            "backoff": backoff, "obedient": obedient}, type(made.clients))
+        clients = msgspec.convert(
+            msgspec.to_builtins(made.clients) | {"backoff": backoff, "obedient": obedient}, type(made.clients)
+        )
         made = replace(made, clients=clients)
         lasts_s = outage_s if scale == "small" else FULL_OUTAGE_S
         if lasts_s == OUTAGES_S[0]:
@@ -143,8 +164,10 @@
 def _again_claims(run: Run) -> list[Claim]:
     second = run.world.faults[-1]
     out = figures.between(second.at_s + second.for_s, over_s(second) - 3.0)
-    return [Claim("service in the second outage", figures.service(run.orders, out), "<=", 1.0 - LEAST_LOST),
-            *_storm_claims(run)]
+    return [
+        Claim("service in the second outage", figures.service(run.orders, out), "<=", 1.0 - LEAST_LOST),
+        *_storm_claims(run),
+    ]
 
 
 def _again_world(scale: Scale) -> World:
@@ -223,19 +246,51 @@
 def _storm(outage_s: float, suffix: str, about: str, backoff: str, obedient: float) -> Experiment:
     length = "" if outage_s == OUTAGES_S[0] else f"-{outage_s:.0f}s"
     full = " (full: 30 s)" if not length else ""
-    return Experiment(f"retry-storm{suffix}{length}", f"all converters out for {outage_s:.0f} s{full}, {about}",
-                      _storm_world(backoff, obedient, outage_s), _storm_claims, ("no-spread",), _storm_figures,
-                      paired=without_guard)
+    return Experiment(
+        f"retry-storm{suffix}{length}",
+        f"all converters out for {outage_s:.0f} s{full}, {about}",
+        _storm_world(backoff, obedient, outage_s),
+        _storm_claims,
+        ("no-spread",),
+        _storm_figures,
+        paired=without_guard,
+    )
 
 
 EXPERIMENTS = (
     *(_storm(outage_s, *clients) for outage_s in OUTAGES_S for clients in CLIENTS),
-    Experiment("retry-storm-again", "all converters out for 5 s, and once more 5 s after they are back", _again_world,
-               _again_claims, ("no-spread",), _storm_figures, paired=without_guard),
-    Experiment("retry-storm-blind", "converters refuse for 5 s, and discovery is away from before that on",
-               _blind_world, _storm_claims, ("no-spread",), _storm_figures, paired=without_guard),
-    Experiment("retry-storm-one", "converters turn away for 5 s what comes by one of three sidecars", _one_world,
-               _one_claims, ("no-spread",), paired=without_guard),
-    Experiment("real-surge", "first tries in a surge are not damped as a storm", lambda scale: load("real-surge"),
-               _surge_claims, ("jumpy",), paired=without_guard),
+    Experiment(
+        "retry-storm-again",
+        "all converters out for 5 s, and once more 5 s after they are back",
+        _again_world,
+        _again_claims,
+        ("no-spread",),
+        _storm_figures,
+        paired=without_guard,
+    ),
+    Experiment(
+        "retry-storm-blind",
+        "converters refuse for 5 s, and discovery is away from before that on",
+        _blind_world,
+        _storm_claims,
+        ("no-spread",),
+        _storm_figures,
+        paired=without_guard,
+    ),
+    Experiment(
+        "retry-storm-one",
+        "converters turn away for 5 s what comes by one of three sidecars",
+        _one_world,
+        _one_claims,
+        ("no-spread",),
+        paired=without_guard,
+    ),
+    Experiment(
+        "real-surge",
+        "first tries in a surge are not damped as a storm",
+        lambda scale: load("real-surge"),
+        _surge_claims,
+        ("jumpy",),
+        paired=without_guard,
+    ),
 )
--- a/ryepier/fronts/graphql.py
+++ b/ryepier/fronts/graphql.py
@@ -28,14 +28,41 @@
     whole_number,
 )
 
-SINGLE_HEADERS = frozenset((
-    b"host", b"content-length", b"content-type", b"accept", b"x-request-id", b"x-tenant", b"x-key", b"x-deadline-ms",
-    b"x-retry", b"x-cost-hint"))
+SINGLE_HEADERS = frozenset(
+    (
+        b"host",
+        b"content-length",
+        b"content-type",
+        b"accept",
+        b"x-request-id",
+        b"x-tenant",
+        b"x-key",
+        b"x-deadline-ms",
+        b"x-retry",
+        b"x-cost-hint",
+    )
+)
 # of this connection, or said anew: what the client says of class and key is not what the operation is
-OWN_HEADERS = frozenset((
-    b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
-    b"content-length", b"transfer-encoding", b"content-type", b"content-encoding", b"x-deadline-ms", b"x-request-id",
-    b"x-class", b"idempotency-key"))
+OWN_HEADERS = frozenset(
+    (
+        b"host",
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+        b"transfer-encoding",
+        b"content-type",
+        b"content-encoding",
+        b"x-deadline-ms",
+        b"x-request-id",
+        b"x-class",
+        b"idempotency-key",
+    )
+)
 NEW_IDENT_BYTES = 12  # of chance: no two requests of a fleet share one
 
 
@@ -54,9 +81,15 @@
     rules: dict[str, dict[str, FieldRule]] = {"query": {}, "mutation": {}}
     for one in settings.fields:
         rules[one.type][one.name] = FieldRule(
-            one.request_class, one.key, int(one.cost_ms * 1000), int(one.deadline_ms * 1000))
-    return Table({kind.name: ClassRule(kind.name, kind.effect) for kind in platform.classes}, rules["query"],
-                 rules["mutation"], settings.queries, settings.mutations)
+            one.request_class, one.key, int(one.cost_ms * 1000), int(one.deadline_ms * 1000)
+        )
+    return Table(
+        {kind.name: ClassRule(kind.name, kind.effect) for kind in platform.classes},
+        rules["query"],
+        rules["mutation"],
+        settings.queries,
+        settings.mutations,
+    )
 
 
 class GraphqlDialect:
@@ -93,8 +126,14 @@
             raise GraphqlError(415, "UNSUPPORTED_MEDIA_TYPE", "no encoded bodies")
         return self.reader.post(found.get(b"content-type", b"").decode("latin-1"), body)
 
-    def _call(self, target: bytes, headers: list[tuple[bytes, bytes]], found: dict[bytes, bytes], asked: Asked,
-              answer_type: str) -> Call:
+    def _call(
+        self,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        found: dict[bytes, bytes],
+        asked: Asked,
+        answer_type: str,
+    ) -> Call:
         meant = asked.meaning
         index = self.classes[meant.class_name]
         kind = self.settings.classes[index]
@@ -104,17 +143,29 @@
         asked_us = 1000 * whole_number(found[b"x-deadline-ms"], "X-Deadline-Ms") if b"x-deadline-ms" in found else 0
         cost, key = found.get(b"x-cost-hint"), found.get(b"x-key")
         onward = [(name, value) for name, value in headers if name.lower() not in OWN_HEADERS]
-        onward += [(b"Content-Type", JSON_TYPE.encode()), (b"X-Request-Id", ident),
-                   (b"X-Class", meant.class_name.encode())]
+        onward += [
+            (b"Content-Type", JSON_TYPE.encode()),
+            (b"X-Request-Id", ident),
+            (b"X-Class", meant.class_name.encode()),
+        ]
         if meant.key:
             onward.append((b"Idempotency-Key", meant.key.encode()))
         return Call(
-            b"POST", target.partition(b"?")[0], onward, asked.body, clock_us(),
+            b"POST",
+            target.partition(b"?")[0],
+            onward,
+            asked.body,
+            clock_us(),
             deadline_us=min(asked_us or meant.deadline_us or kind.deadline_us, kind.deadline_us),
-            class_index=index, ident=ident, tenant=self.tenants.place(found),
+            class_index=index,
+            ident=ident,
+            tenant=self.tenants.place(found),
             key=stable_hash(key) if key else 0,
             cost_us=whole_number(cost, "X-Cost-Hint") if cost else meant.cost_us,
-            retried=found.get(b"x-retry") == b"1", passes_errors=True, answer_type=answer_type.encode())
+            retried=found.get(b"x-retry") == b"1",
+            passes_errors=True,
+            answer_type=answer_type.encode(),
+        )
 
     def answer(self, call: Call, answer: Answer) -> Reply:
         """What a converter said goes on as it is, with its errors."""
@@ -172,8 +223,9 @@
         return Server(host, config.settings, config.listen, most_clients(config, settings), both)
 
     def own(config: Config, host: Host) -> Front:
-        return Server(host, config.settings, parse_address(settings.listen), most_clients(config, settings),
-                      dialect(config))
+        return Server(
+            host, config.settings, parse_address(settings.listen), most_clients(config, settings), dialect(config)
+        )
 
     return (shared, own) if settings.listen else (shared,)
 
--- a/ryepier/graphql/classify.py
+++ b/ryepier/graphql/classify.py
@@ -54,8 +54,10 @@
         if self.effect(self.query_class) == "deduplicated":
             raise ValueError(f"queries: class {self.query_class!r} needs a key, which nothing would name")
         if self.effect(self.mutation_class) != "at_most_once":
-            raise ValueError(f"mutations: class {self.mutation_class!r} may run again, "
-                             "and nothing is known of a mutation that is not in the table")
+            raise ValueError(
+                f"mutations: class {self.mutation_class!r} may run again, "
+                "and nothing is known of a mutation that is not in the table"
+            )
         for name, rule in self.mutations.items():
             if self.effect(rule.class_name) == "idempotent":
                 raise ValueError(f"mutation {name}: class {rule.class_name!r} is for what is harmless to repeat")
@@ -106,8 +108,7 @@
     if effect == "deduplicated" and (not key or _started(table, found) > 1):
         # one key can't stand for two runs
         rule, key, effect = FieldRule(table.mutation_class), "", table.effect(table.mutation_class)
-    return Meaning(rule.class_name, effect, key if effect == "deduplicated" else "", cost_us, deadline_us,
-                   mutates)
+    return Meaning(rule.class_name, effect, key if effect == "deduplicated" else "", cost_us, deadline_us, mutates)
 
 
 def _started(table: Table, found: list[tuple[FieldRule, str]]) -> int:
@@ -115,8 +116,9 @@
 
 
 def _field(table: Table, kind: str, field: RootField, variables: Mapping[str, Any]) -> tuple[FieldRule, str]:
-    rules, otherwise = ((table.mutations, table.mutation_class) if kind == "mutation" else
-                        (table.queries, table.query_class))
+    rules, otherwise = (
+        (table.mutations, table.mutation_class) if kind == "mutation" else (table.queries, table.query_class)
+    )
     rule = rules.get(field.name)
     if rule is None:
         return FieldRule(otherwise), ""
--- a/ryepier/graphql/document.py
+++ b/ryepier/graphql/document.py
@@ -134,16 +134,22 @@
                 defaults[variable.variable.name.value] = read_value(variable.default_value)
         return Operation(node.operation.value, name, tuple(fields), defaults)
 
-    def collect(self, selected: SelectionSetNode, guards: tuple[DirectiveNode, ...], within: frozenset[str],
-                fields: list[RootField]) -> None:
+    def collect(
+        self,
+        selected: SelectionSetNode,
+        guards: tuple[DirectiveNode, ...],
+        within: frozenset[str],
+        fields: list[RootField],
+    ) -> None:
         """The root fields of a selection, with every fragment put in where it is named."""
         for node in selected.selections:
             here = guards + tuple(one for one in node.directives or () if one.name.value in ("skip", "include"))
             if isinstance(node, FieldNode):
                 if len(fields) >= MOST_ROOT_FIELDS:
                     raise bad(f"more than {MOST_ROOT_FIELDS} fields at the top", "DOCUMENT_TOO_LARGE")
-                fields.append(RootField(node.name.value, {one.name.value: one.value for one in node.arguments or ()},
-                                        here))
+                fields.append(
+                    RootField(node.name.value, {one.name.value: one.value for one in node.arguments or ()}, here)
+                )
                 continue
             inner = getattr(node, "selection_set", None)
             if inner is not None:  # an inline fragment
--- a/ryepier/graphql/request.py
+++ b/ryepier/graphql/request.py
@@ -120,8 +120,7 @@
 def read_get(query_string: str) -> Parameters:
     """A GET's parameters. Raises GraphqlError."""
     try:
-        pairs = parse_qsl(query_string, keep_blank_values=True, strict_parsing=True, errors="strict",
-                          max_num_fields=50)
+        pairs = parse_qsl(query_string, keep_blank_values=True, strict_parsing=True, errors="strict", max_num_fields=50)
     except ValueError as error:
         raise bad(f"the query string can't be read: {error}") from None
     found: dict[str, Any] = {}
@@ -168,16 +167,19 @@
             raise bad(f"a batch has 1 to {self.most_batch} operations, not {len(found)}", "BATCH_SIZE")
         parts = [read_parameters(one) for one in found]
         read = [self._operation(part) for part in parts]
-        meant = meaning(self.table, [(operation, part.variables) for part, (_, operation) in zip(
-            parts, read, strict=True)])
+        meant = meaning(
+            self.table, [(operation, part.variables) for part, (_, operation) in zip(parts, read, strict=True)]
+        )
         if meant.effect == "deduplicated":
             # a key stands for one run, not for all that came with it
-            meant = replace(meant, class_name=self.table.mutation_class, key="",
-                            effect=self.table.effect(self.table.mutation_class))
+            meant = replace(
+                meant, class_name=self.table.mutation_class, key="", effect=self.table.effect(self.table.mutation_class)
+            )
         if all(part.query is not None for part in parts):
             return Asked(meant, body)
-        return Asked(meant, b"[" + b",".join(_body(part, text) for part, (text, _) in zip(
-            parts, read, strict=True)) + b"]")
+        return Asked(
+            meant, b"[" + b",".join(_body(part, text) for part, (text, _) in zip(parts, read, strict=True)) + b"]"
+        )
 
     def _operation(self, parameters: Parameters) -> tuple[str, Operation]:
         text = self.persisted.resolve(parameters.query, parameters.extensions)
--- a/ryepier/logs/structured.py
+++ b/ryepier/logs/structured.py
@@ -34,8 +34,7 @@
 def set_up(settings: Logging) -> None:
     """Send the root logger's records to standard error as the operators want them."""
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(JsonLines() if settings.format == "json"
-                         else logging.Formatter("%(levelname)s %(message)s"))
+    handler.setFormatter(JsonLines() if settings.format == "json" else logging.Formatter("%(levelname)s %(message)s"))
     handler.addFilter(RateLimit(settings.lines_per_s))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/ryepier/plan/compute.py
+++ b/ryepier/plan/compute.py
@@ -102,9 +102,12 @@
     def sound(self, basis: Basis) -> bool:
         """Whether it is enough to speak at all: a planner that has just started knows nothing."""
         rules = self.rules
-        return (basis.forwarders >= max(1.0, rules.least_reporters * rules.fleet)
-                and basis.window_ms >= rules.least_window_ms and basis.covered >= rules.least_covered * basis.listed
-                and basis.listed > 0)
+        return (
+            basis.forwarders >= max(1.0, rules.least_reporters * rules.fleet)
+            and basis.window_ms >= rules.least_window_ms
+            and basis.covered >= rules.least_covered * basis.listed
+            and basis.listed > 0
+        )
 
     def plan(self, now_us: int, evidence: Evidence, term: Term, number: int) -> Plan | None:
         """The plan for now, or None while the evidence is not enough."""
@@ -116,8 +119,9 @@
             return None
         self._judge(now_us, sums, basis)
         entries = self._entries(sums, len(heard))
-        return Plan(term, number, basis, entries, VALID_MS, FADE_MS, self._tenant_worth(heard),
-                    self._class_admit(heard))
+        return Plan(
+            term, number, basis, entries, VALID_MS, FADE_MS, self._tenant_worth(heard), self._class_admit(heard)
+        )
 
     def resting(self) -> set[str]:
         return {uid for uid, judged in self.judged.items() if judged.state == "rests"}
@@ -153,19 +157,26 @@
         found = set()
         for name, known in heard.items():
             bad = {uid: cell.recent for uid, cell in known.cells.items() if cell.recent.bad >= VOTE}
-            own = _Sum(sum(cell.recent.served for cell in known.cells.values()),
-                       sum(cell.recent.bad for cell in known.cells.values()))
+            own = _Sum(
+                sum(cell.recent.served for cell in known.cells.values()),
+                sum(cell.recent.bad for cell in known.cells.values()),
+            )
             if len(bad) < LIAR_CONVERTERS or own.bad_share < LIAR_SHARE:
                 continue
-            others = _Sum(sum(whole[uid].served - recent.served * say(recent) for uid, recent in bad.items()),
-                          sum(whole[uid].bad - recent.bad * say(recent) for uid, recent in bad.items()))
+            others = _Sum(
+                sum(whole[uid].served - recent.served * say(recent) for uid, recent in bad.items()),
+                sum(whole[uid].bad - recent.bad * say(recent) for uid, recent in bad.items()),
+            )
             if others.served + others.bad >= LEAST_BAD and others.bad_share < WELL_SHARE:
                 found.add(name)
         return found
 
     def _is_bad(self, total: _Sum) -> bool:
-        return (total.bad >= LEAST_BAD and total.bad_share >= BAD_SHARE
-                and total.voters >= min(LEAST_VOTERS, max(1, total.users)))
+        return (
+            total.bad >= LEAST_BAD
+            and total.bad_share >= BAD_SHARE
+            and total.voters >= min(LEAST_VOTERS, max(1, total.users))
+        )
 
     def _judge(self, now_us: int, sums: dict[str, _Sum], basis: Basis) -> None:
         """Who begins to rest, comes back, or is as usual again."""
@@ -200,16 +211,25 @@
         for uid, took_ms in times.items():
             if took_ms > SLOW * usual_ms > 0.0 and uid not in self.judged:
                 ratio = took_ms / usual_ms
-                entries[uid] = Entry(max(LEAST_WEIGHT, 1.0 / ratio), 1 if ratio > SLOWEST else 0,
-                                     why=f"its median answer takes {took_ms:.0f} ms, {ratio:.1f} times the usual")
+                entries[uid] = Entry(
+                    max(LEAST_WEIGHT, 1.0 / ratio),
+                    1 if ratio > SLOWEST else 0,
+                    why=f"its median answer takes {took_ms:.0f} ms, {ratio:.1f} times the usual",
+                )
         if self.fleet_trouble:
             return entries
         for uid, judged in self.judged.items():
             total = sums.get(uid, _Sum())
             if judged.state == "rests":
                 trial = min(1.0, TRIALS / max(1, forwarders))
-                entries[uid] = Entry(1.0, 0, True, trial, f"{total.bad_share:.0%} of {total.served + total.bad:.1f} "
-                                     f"recent ends bad, seen by {total.voters} of {total.users} forwarders")
+                entries[uid] = Entry(
+                    1.0,
+                    0,
+                    True,
+                    trial,
+                    f"{total.bad_share:.0%} of {total.served + total.bad:.1f} "
+                    f"recent ends bad, seen by {total.voters} of {total.users} forwarders",
+                )
             else:
                 entries[uid] = Entry(STEPS[judged.step], 1, why="comes back after a rest")
         return entries
@@ -222,20 +242,24 @@
             if name in self.liars:
                 continue
             refused += known.recent_refused
-            for index, count in enumerate(known.recent_arrivals[:len(seen)]):
+            for index, count in enumerate(known.recent_arrivals[: len(seen)]):
                 seen[index] += count
         total = sum(seen)
         if total <= 0.0 or refused < OVERLOADED * total:
             return []
-        return [min(1.0, share * total / count) if count > 0.0 else 1.0
-                for share, count in zip(self.tenant_shares, seen, strict=True)]
+        return [
+            min(1.0, share * total / count) if count > 0.0 else 1.0
+            for share, count in zip(self.tenant_shares, seen, strict=True)
+        ]
 
     def _class_admit(self, heard: dict[str, Forwarder]) -> list[float]:
         """By class, the share of all arrivals that its limit lets in; nothing where none is over its limit."""
         per_s = [0.0] * len(self.class_limits)
         for known in heard.values():
-            for index, count in enumerate(known.recent_class_arrivals[:len(per_s)]):
+            for index, count in enumerate(known.recent_class_arrivals[: len(per_s)]):
                 per_s[index] += count / (MEMORY_US / 1e6)  # what fades so fast sums up to the rate times its memory
-        admit = [min(1.0, limit / rate) if limit > 0.0 and rate > 0.0 else 1.0
-                 for limit, rate in zip(self.class_limits, per_s, strict=True)]
+        admit = [
+            min(1.0, limit / rate) if limit > 0.0 and rate > 0.0 else 1.0
+            for limit, rate in zip(self.class_limits, per_s, strict=True)
+        ]
         return admit if min(admit, default=1.0) < 1.0 else []
--- a/ryepier/plan/follow.py
+++ b/ryepier/plan/follow.py
@@ -125,4 +125,3 @@
         if self.plan is None or self.trust(now_us) < 1.0:
             return []  # an old view of the rates is worse than what is seen here
         return list(self.plan.tenant_worth)
-
--- a/ryepier/plan/forwarder.py
+++ b/ryepier/plan/forwarder.py
@@ -242,8 +242,11 @@
 
     def tell_module(self) -> None:
         now_us = self.machine.clock_us()
-        event = PlanUpdated(self.follower.advice(now_us, dict(self.sidecar.idents())),
-                            self.follower.tenant_worth(now_us), self.follower.class_admit(now_us))
+        event = PlanUpdated(
+            self.follower.advice(now_us, dict(self.sidecar.idents())),
+            self.follower.tenant_worth(now_us),
+            self.follower.class_admit(now_us),
+        )
         if event != self.told:
             self.told = event
             self.sidecar.planned(event)
--- a/ryepier/plan/lead.py
+++ b/ryepier/plan/lead.py
@@ -54,8 +54,9 @@
             self.heard_term(known.term)
         if self.leads:
             return True
-        fresh = sum(known.term == self.highest and now_us - known.plan_taken_us < SUSPECT_US
-                    for known in heard.values())
+        fresh = sum(
+            known.term == self.highest and now_us - known.plan_taken_us < SUSPECT_US for known in heard.values()
+        )
         # hazard: a cut between planners is not the end of the leader, as long as forwarders still hear it
         another = self.highest.epoch > 0 and self.highest.planner != self.name
         if another and heard and fresh >= WITNESSES * len(heard):
--- a/ryepier/plan/merge.py
+++ b/ryepier/plan/merge.py
@@ -71,9 +71,13 @@
 
 def greater(one: Seen, other: Seen) -> Seen:
     """The merge of two states of the same counters."""
-    return Seen(max(one.sends, other.sends), max(one.served, other.served), max(one.bad, other.bad),
-                max(one.full, other.full),
-                tuple(map(max, zip_longest(one.times[:TIME_BUCKETS], other.times[:TIME_BUCKETS], fillvalue=0))))
+    return Seen(
+        max(one.sends, other.sends),
+        max(one.served, other.served),
+        max(one.bad, other.bad),
+        max(one.full, other.full),
+        tuple(map(max, zip_longest(one.times[:TIME_BUCKETS], other.times[:TIME_BUCKETS], fillvalue=0))),
+    )
 
 
 def _grow(whole: list[int], recent: list[float], counts: list[int], share: float, first: bool) -> None:
@@ -137,11 +141,15 @@
 
     def forget(self, now_us: int) -> None:
         """What is too old to tell anything. Hazard: forwarders and converters come and go for ever."""
-        self.forwarders = {name: known for name, known in self.forwarders.items()
-                           if known.heard_us > now_us - FORGET_US}
+        self.forwarders = {
+            name: known for name, known in self.forwarders.items() if known.heard_us > now_us - FORGET_US
+        }
         for known in self.forwarders.values():
-            known.cells = {uid: cell for uid, cell in known.cells.items()
-                           if cell.recent.at_us > now_us - FORGET_US or uid in known.outstanding}
+            known.cells = {
+                uid: cell
+                for uid, cell in known.cells.items()
+                if cell.recent.at_us > now_us - FORGET_US or uid in known.outstanding
+            }
 
     def heard(self, now_us: int) -> dict[str, Forwarder]:
         """Those that count now, their recent counts brought up to date."""
@@ -156,5 +164,4 @@
 
     def totals(self) -> dict[str, dict[str, Seen]]:
         """The merged counters: the same for any order and repetition of the same reports."""
-        return {name: {uid: cell.seen for uid, cell in known.cells.items()}
-                for name, known in self.forwarders.items()}
+        return {name: {uid: cell.seen for uid, cell in known.cells.items()} for name, known in self.forwarders.items()}
--- a/ryepier/plan/messages.py
+++ b/ryepier/plan/messages.py
@@ -150,8 +150,8 @@
                 raise ProtocolError(f"a message of {size} bytes; {LONGEST} are allowed")
             if len(self.pending) < LENGTH_BYTES + size:
                 break
-            body = bytes(self.pending[LENGTH_BYTES:LENGTH_BYTES + size])
-            del self.pending[:LENGTH_BYTES + size]
+            body = bytes(self.pending[LENGTH_BYTES : LENGTH_BYTES + size])
+            del self.pending[: LENGTH_BYTES + size]
             messages.append(decode(body))
         return messages
 
@@ -164,8 +164,9 @@
         raise ProtocolError(f"unreadable: {error}") from None
     if isinstance(message, Hello) and message.version != VERSION:
         raise ProtocolError(f"version {message.version}; this side speaks {VERSION}")
-    count = len(message.seen) if isinstance(message, Report) else len(message.entries) if isinstance(
-        message, Plan) else 0
+    count = (
+        len(message.seen) if isinstance(message, Report) else len(message.entries) if isinstance(message, Plan) else 0
+    )
     if count > MOST_CONVERTERS:
         raise ProtocolError(f"{count} converters in one message; {MOST_CONVERTERS} are allowed")
     return message
--- a/ryepier/plan/planner.py
+++ b/ryepier/plan/planner.py
@@ -244,8 +244,9 @@
         if self.settings.folder is None or self.leadership.highest.epoch == 0:
             return
         machine = self.machine
-        kept = snapshot.keep(machine.clock_us(), machine.unix_us() // 1000, self.leadership.highest,
-                             self.planner.judged)
+        kept = snapshot.keep(
+            machine.clock_us(), machine.unix_us() // 1000, self.leadership.highest, self.planner.judged
+        )
         try:
             snapshot.save(self.settings.folder, kept)
         except OSError as error:
--- a/ryepier/plan/report.py
+++ b/ryepier/plan/report.py
@@ -87,5 +87,14 @@
         for notes in self.notes.values():
             notes.changed = False
         outstanding = {uid: len(notes.out) for uid, notes in self.notes.items() if notes.out}
-        return Report(self.number, listed, seen, outstanding, list(self.arrivals), list(self.class_arrivals),
-                      self.refused, term, plan_age_ms)
+        return Report(
+            self.number,
+            listed,
+            seen,
+            outstanding,
+            list(self.arrivals),
+            list(self.class_arrivals),
+            self.refused,
+            term,
+            plan_age_ms,
+        )
--- a/ryepier/sidecar/__main__.py
+++ b/ryepier/sidecar/__main__.py
@@ -38,8 +38,7 @@
             log.warning("the configuration can't be read and stays as it is: %r", error)
 
 
-async def serve(settings: config.Config, stop: asyncio.Event, reload: asyncio.Event,
-                parts: Parts = PLATFORM) -> None:
+async def serve(settings: config.Config, stop: asyncio.Event, reload: asyncio.Event, parts: Parts = PLATFORM) -> None:
     """Serve until told to stop, then answer what comes and what is open."""
     loop = asyncio.get_running_loop()
     pool = Pool(settings.idle_us, settings.settings.connect_timeout_us, most=settings.sockets * 3 // 8)
--- a/ryepier/sidecar/discovery.py
+++ b/ryepier/sidecar/discovery.py
@@ -72,9 +72,15 @@
                 self.idents.pop(line["uid"], None)
                 self.heard.pop(line["uid"], None)
         event = UpstreamsUpdated(kind, entries, int(lines["rev"]))
-        log.info("list %d, %s: %s", event.version, kind.value, " ".join(
-            f"{line['uid']}={entry.id}:{entry.state.value}"
-            for line, entry in zip(lines["targets"], entries, strict=True)))
+        log.info(
+            "list %d, %s: %s",
+            event.version,
+            kind.value,
+            " ".join(
+                f"{line['uid']}={entry.id}:{entry.state.value}"
+                for line, entry in zip(lines["targets"], entries, strict=True)
+            ),
+        )
         return event, addresses
 
     def entry(self, line: Any) -> tuple[Upstream, Address]:
@@ -170,8 +176,10 @@
             return
         host, port = self.discovery.address
         log.info("watch since %d", self.discovery.version)
-        transport.write(b"GET /discovery/hosts?follow=1&since=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
-                        % (self.discovery.version, host.encode(), port))
+        transport.write(
+            b"GET /discovery/hosts?follow=1&since=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
+            % (self.discovery.version, host.encode(), port)
+        )
 
     def data_received(self, data: bytes) -> None:
         self.discovery.heard()
@@ -217,8 +225,9 @@
     """Holds the watch. Where the list must be asked for the module does so, and is told how each call fails;
     where changes are pushed it never asks, and the watch is how they are pushed: it is always there."""
 
-    def __init__(self, address: Address, directory: Directory, listener: Listener, pushed: bool,
-                 known: Any = None) -> None:
+    def __init__(
+        self, address: Address, directory: Directory, listener: Listener, pushed: bool, known: Any = None
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.address = address
         self.directory = directory
--- a/ryepier/sidecar/host.py
+++ b/ryepier/sidecar/host.py
@@ -98,8 +98,15 @@
 class Upstreams(Protocol):
     """The side of the upstreams."""
 
-    def start(self, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
-              ended: Callable[[Result], None], latest_us: int = 0) -> Flight:
+    def start(
+        self,
+        upstream: int,
+        address: tuple[str, int],
+        call: Call,
+        timeout_us: int,
+        ended: Callable[[Result], None],
+        latest_us: int = 0,
+    ) -> Flight:
         """Begin an attempt; nothing of it is written after `latest_us`, unless that is 0, nor, where its connection
         has to come up first, once the client has left: it ends as not sent. `ended` is called once, later, unless the
         attempt is given up first."""
@@ -207,10 +214,15 @@
 
     def __str__(self) -> str:
         call = self.request.call
-        tries = ", ".join(f"upstream {a.upstream} {a.outcome.value if a.outcome else 'out'} sent at "
-                          f"{(a.sent_us - call.arrived_us) // 1000} ms" for a in self.request.attempts)
-        return (f"request {self.ident} {self.verdict.value} after {self.took_us // 1000} of "
-                f"{call.deadline_us // 1000} ms: {tries or 'not sent'}")
+        tries = ", ".join(
+            f"upstream {a.upstream} {a.outcome.value if a.outcome else 'out'} sent at "
+            f"{(a.sent_us - call.arrived_us) // 1000} ms"
+            for a in self.request.attempts
+        )
+        return (
+            f"request {self.ident} {self.verdict.value} after {self.took_us // 1000} of "
+            f"{call.deadline_us // 1000} ms: {tries or 'not sent'}"
+        )
 
 
 class Host:
@@ -250,8 +262,11 @@
         if self.observer is not None:
             self.observer.arrived(call.tenant, call.class_index)
         tries = self.recogniser.tries(call) if self.recogniser is not None else 0
-        self._tell(api.RequestArrived(request.ident, due_us, call.class_index, call.tenant, call.key,
-                                      call.cost_us, call.retried, tries))
+        self._tell(
+            api.RequestArrived(
+                request.ident, due_us, call.class_index, call.tenant, call.key, call.cost_us, call.retried, tries
+            )
+        )
         return request.ident
 
     def gone(self, ident: int) -> None:
@@ -421,8 +436,13 @@
         request.attempts.append(attempt)
         address = self.addresses.get(action.upstream)
         left_us = request.due_us - now_us
-        if (request.over or address is None or left_us <= 0 or action.timeout_us < 0
-                or number >= self.settings.max_attempts):
+        if (
+            request.over
+            or address is None
+            or left_us <= 0
+            or action.timeout_us < 0
+            or number >= self.settings.max_attempts
+        ):
             self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
             return
         timeout_us = min(action.timeout_us or left_us, left_us)
@@ -430,8 +450,13 @@
         if self.observer is not None:
             self.observer.sent(action.upstream, self._token(request, number), request.call.class_index)
         attempt.flight = self.upstreams.start(
-            action.upstream, address, request.call, timeout_us,
-            lambda result: self._end_attempt(request, number, result), action.latest_us)
+            action.upstream,
+            address,
+            request.call,
+            timeout_us,
+            lambda result: self._end_attempt(request, number, result),
+            action.latest_us,
+        )
 
     def _timed_out(self, request: Request, number: int) -> None:
         self._give_up(request, number, api.Outcome.TIMEOUT)
@@ -461,16 +486,14 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         if result.outcome is api.Outcome.OK:
-            self._answer(request.ident, Answer(
-                Verdict.SERVED, result.body, result.content_type, status=result.status))
+            self._answer(request.ident, Answer(Verdict.SERVED, result.body, result.content_type, status=result.status))
         elif result.outcome is api.Outcome.NOT_SENT:
             self._look(request)
         elapsed_us = clock_us() - attempt.sent_us
         if self.observer is not None:
             self.observer.ended(attempt.upstream, self._token(request, number), result.outcome, elapsed_us)
         self._drop_if_done(request)
-        self._tell(api.AttemptEnded(request.ident, number, attempt.upstream, result.outcome, elapsed_us,
-                                    request.over))
+        self._tell(api.AttemptEnded(request.ident, number, attempt.upstream, result.outcome, elapsed_us, request.over))
 
     def _token(self, request: Request, number: int) -> int:
         return request.ident * self.settings.max_attempts + number
--- a/ryepier/sidecar/parts.py
+++ b/ryepier/sidecar/parts.py
@@ -77,8 +77,13 @@
 
 def discovery_source(config: Config, host: Host) -> Source:
     """The platform's discovery."""
-    return Discovery(config.discovery, Directory(config.zones, config.kinds), host.list_changed,
-                     pushed=not config.settings.list_on_request, known=config.known)
+    return Discovery(
+        config.discovery,
+        Directory(config.zones, config.kinds),
+        host.list_changed,
+        pushed=not config.settings.list_on_request,
+        known=config.known,
+    )
 
 
 def http_front(config: Config, host: Host) -> Front:
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -35,12 +35,36 @@
 ACCEPTS_A_TURN = 16  # hazard: hundreds of connections at once would keep what is open waiting
 NO_ROOM_S = 0.05
 MOST_DIGITS = 9
-OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
-    b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
-    b"content-length", b"transfer-encoding", b"x-deadline-ms"))
-SINGLE_HEADERS = frozenset((  # hazard: of two, the upstream might go by the other one
-    b"host", b"content-length", b"x-request-id", b"x-class", b"x-tenant", b"x-key", b"x-deadline-ms",
-    b"x-retry", b"x-cost-hint", b"x-extras", b"idempotency-key"))
+OWN_HEADERS = frozenset(
+    (  # of this connection, or written anew for each attempt
+        b"host",
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+        b"transfer-encoding",
+        b"x-deadline-ms",
+    )
+)
+SINGLE_HEADERS = frozenset(
+    (  # hazard: of two, the upstream might go by the other one
+        b"host",
+        b"content-length",
+        b"x-request-id",
+        b"x-class",
+        b"x-tenant",
+        b"x-key",
+        b"x-deadline-ms",
+        b"x-retry",
+        b"x-cost-hint",
+        b"x-extras",
+        b"idempotency-key",
+    )
+)
 IDENT = re.compile(rb"[!-~]{1,128}")
 VALUE = re.compile(rb"[\t -~]*")
 NAME = re.compile(rb"[\t -~\x80-\xff]*")
@@ -151,7 +175,11 @@
         cost = found.get(b"x-cost-hint")
         deadline_us = 1000 * whole_number(found.get(b"x-deadline-ms", b""), "X-Deadline-Ms")
         return Call(
-            method, target, [(n, v) for n, v in headers if n.lower() not in OWN_HEADERS], body, clock_us(),
+            method,
+            target,
+            [(n, v) for n, v in headers if n.lower() not in OWN_HEADERS],
+            body,
+            clock_us(),
             deadline_us=min(deadline_us, kind.deadline_us),  # hazard: else a request could stay for years
             class_index=index,
             ident=found[b"x-request-id"],
@@ -211,15 +239,26 @@
     ENDING = enum.auto()  # it has its last answer
 
 
-LONGEST_S = {State.FRESH: LONGEST_READ_S, State.IDLE: LONGEST_IDLE_S, State.READING: LONGEST_READ_S,
-             State.ENDING: LONGEST_LINGER_S}  # an open request has its own deadline
+LONGEST_S = {
+    State.FRESH: LONGEST_READ_S,
+    State.IDLE: LONGEST_IDLE_S,
+    State.READING: LONGEST_READ_S,
+    State.ENDING: LONGEST_LINGER_S,
+}  # an open request has its own deadline
 
 
 # who makes room: (state, for how long it has been in it without a byte, whether half a request may have come).
 # Hazard: who has just connected is about to ask; half a request that stands still is given up before that one
-LEAST_USE = ((State.ENDING, 0.0, True), (State.FRESH, FIRST_COMES_S, False), (State.IDLE, 2.0, True),
-             (State.FRESH, FIRST_COMES_S, True), (State.FRESH, 0.0, False), (State.IDLE, 0.0, True),
-             (State.FRESH, 0.0, True), (State.READING, 0.0, True))
+LEAST_USE = (
+    (State.ENDING, 0.0, True),
+    (State.FRESH, FIRST_COMES_S, False),
+    (State.IDLE, 2.0, True),
+    (State.FRESH, FIRST_COMES_S, True),
+    (State.FRESH, 0.0, False),
+    (State.IDLE, 0.0, True),
+    (State.FRESH, 0.0, True),
+    (State.READING, 0.0, True),
+)
 
 
 class Client(asyncio.Protocol):
@@ -436,8 +475,14 @@
 class Server:
     """All connections of the application."""
 
-    def __init__(self, host: Host, settings: Settings, address: tuple[str, int], most_clients: int,
-                 dialect: Dialect | None = None) -> None:
+    def __init__(
+        self,
+        host: Host,
+        settings: Settings,
+        address: tuple[str, int],
+        most_clients: int,
+        dialect: Dialect | None = None,
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.host = host
         self.address = address
@@ -520,9 +565,13 @@
             for client in self.clients[state]:
                 if client.since > now - age_s:
                     break
-                if (client.transport is not None and (half or client.size == 0) and client.flushed()
-                        and client.heard <= now - age_s
-                        and (state is State.ENDING or client.quiet())):
+                if (
+                    client.transport is not None
+                    and (half or client.size == 0)
+                    and client.flushed()
+                    and client.heard <= now - age_s
+                    and (state is State.ENDING or client.quiet())
+                ):
                     client.close()
                     self.remove(client)
                     return True
@@ -558,8 +607,13 @@
         young = system.monotonic() - FIRST_COMES_S
         for state in (State.IDLE, State.FRESH):
             for client in list(self.clients[state]):
-                if (client.size == 0 and client.transport is not None and client.flushed() and client.quiet()
-                        and (state is State.IDLE or client.since <= young)):
+                if (
+                    client.size == 0
+                    and client.transport is not None
+                    and client.flushed()
+                    and client.quiet()
+                    and (state is State.IDLE or client.since <= young)
+                ):
                     client.close()
 
     def stop_listening(self) -> None:
--- a/ryepier/sidecar/upstreams.py
+++ b/ryepier/sidecar/upstreams.py
@@ -41,8 +41,15 @@
 class Attempt:
     """One attempt: it has a connection, or waits until its connection is up."""
 
-    def __init__(self, data: bytes, ended: Callable[[Result], None], ident: bytes = b"",
-                 passes_errors: bool = False, latest_us: int = 0, left: Callable[[], bool] = stays) -> None:
+    def __init__(
+        self,
+        data: bytes,
+        ended: Callable[[Result], None],
+        ident: bytes = b"",
+        passes_errors: bool = False,
+        latest_us: int = 0,
+        left: Callable[[], bool] = stays,
+    ) -> None:
         self.data = data
         self.latest_us = latest_us  # it must not be written later; 0 = no such time
         self.passes_errors = passes_errors
@@ -212,8 +219,12 @@
     def finish_complete(self) -> None:
         if self.closed or self.unsent:  # hazard: the rest of this request would be read as the next one
             self.close()
-        if self.status == 200 or (self.attempt is not None and self.attempt.passes_errors
-                                  and 400 <= self.status < 500 and self.status not in TRY_LATER):
+        if self.status == 200 or (
+            self.attempt is not None
+            and self.attempt.passes_errors
+            and 400 <= self.status < 500
+            and self.status not in TRY_LATER
+        ):
             # hazard: what comes before the request is out whole was not made for it
             outcome = Outcome.SPOILT if self.unsent else Outcome.OK
         elif self.status in (503, 504) and self.not_run:
@@ -229,8 +240,14 @@
         result = Result(outcome)
         if outcome is Outcome.RESET and attempt is not None:
             ident = attempt.ident.decode()
-            log.info("request %s: upstream %d reset, idle for %d ms before, %d bytes received",
-                     ident, self.upstream, self.idle_us // 1000, self.received, extra={"request": ident})
+            log.info(
+                "request %s: upstream %d reset, idle for %d ms before, %d bytes received",
+                ident,
+                self.upstream,
+                self.idle_us // 1000,
+                self.received,
+                extra={"request": ident},
+            )
         if outcome is Outcome.OK:
             result = Result(outcome, bytes(self.body), self.content_type, self.status)
         self.parser = None
@@ -283,10 +300,23 @@
         self.to_dial: dict[Attempt, int] = {}  # attempts that have no connection yet, with their upstreams
         self.sweeper = self.loop.call_later(1.0, self.sweep)
 
-    def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
-              ended: Callable[[Result], None], latest_us: int = 0) -> Attempt:
-        attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended, call.ident, call.passes_errors,
-                          latest_us, call.left)
+    def start(
+        self,
+        upstream: int,
+        address: Address,
+        call: Call,
+        timeout_us: int,
+        ended: Callable[[Result], None],
+        latest_us: int = 0,
+    ) -> Attempt:
+        attempt = Attempt(
+            request_head(call, address, timeout_us) + call.body,
+            ended,
+            call.ident,
+            call.passes_errors,
+            latest_us,
+            call.left,
+        )
         now_us = clock_us()
         while idle := self.idle.get(upstream):
             connection = idle[0]
--- a/ryepier/sim/network.py
+++ b/ryepier/sim/network.py
@@ -422,8 +422,7 @@
         first.send(lambda: self._knock(sock, address, there, back, done))
         await done
 
-    def _knock(self, sock: SimSocket, address: Address, there: Link, back: Link,
-               done: asyncio.Future[None]) -> None:
+    def _knock(self, sock: SimSocket, address: Address, there: Link, back: Link, done: asyncio.Future[None]) -> None:
         listener, answer = self.listeners.get(address), Pipe(self, back)
         if listener is None:
             answer.send(lambda: settle(done, ConnectionRefusedError(f"refused by {address}")))
--- a/ryepier/sim/run.py
+++ b/ryepier/sim/run.py
@@ -121,7 +121,8 @@
         return handle
 
     def call_at(  # type: ignore[override]
-            self, when: float, callback: Any, *args: Any, context: Any = None) -> Any:
+        self, when: float, callback: Any, *args: Any, context: Any = None
+    ) -> Any:
         clocks = self.clocks.get(OWNER.get()) if self.clocks else None
         if clocks is not None:
             when = clocks.when(when)
--- a/ryepier/slices/client.py
+++ b/ryepier/slices/client.py
@@ -54,8 +54,16 @@
         host, port = os.environ.get("KUBERNETES_SERVICE_HOST", ""), os.environ.get("KUBERNETES_SERVICE_PORT", "")
         if not host or not port.isdecimal():
             raise AccessError("no server is named, and KUBERNETES_SERVICE_HOST and _PORT tell of none")
-        return Access(host, int(port), True, "", Path(token or POD / "token"), Path(authority or POD / "ca.crt"),
-                      Path(certificate) if certificate else None, Path(key) if key else None)
+        return Access(
+            host,
+            int(port),
+            True,
+            "",
+            Path(token or POD / "token"),
+            Path(authority or POD / "ca.crt"),
+            Path(certificate) if certificate else None,
+            Path(key) if key else None,
+        )
     try:
         url = urlsplit(server)
         port_number = url.port
@@ -66,8 +74,13 @@
     if bool(certificate) != bool(key):
         raise AccessError("a client certificate and its key go together")
     tls = url.scheme == "https"
-    return Access(url.hostname, port_number or (443 if tls else 80), tls, url.path.rstrip("/"),
-                  *(Path(name) if name else None for name in (token, authority, certificate, key)))
+    return Access(
+        url.hostname,
+        port_number or (443 if tls else 80),
+        tls,
+        url.path.rstrip("/"),
+        *(Path(name) if name else None for name in (token, authority, certificate, key)),
+    )
 
 
 def tls_context(access: Access) -> ssl.SSLContext | None:
@@ -83,8 +96,12 @@
 def request_head(access: Access, target: str) -> bytes:
     """Raises OSError where the token can't be read, and ValueError where it is none."""
     host = f"[{access.host}]" if ":" in access.host else access.host
-    lines = [f"GET {access.prefix}{target} HTTP/1.1", f"Host: {host}:{access.port}", "Accept: application/json",
-             "User-Agent: ryepier"]
+    lines = [
+        f"GET {access.prefix}{target} HTTP/1.1",
+        f"Host: {host}:{access.port}",
+        "Accept: application/json",
+        "User-Agent: ryepier",
+    ]
     if access.token is not None:
         token = access.token.read_text(encoding="ascii").strip()
         if not token or not token.isprintable():
@@ -115,8 +132,9 @@
         sock: socket.socket | None = transport.get_extra_info("socket")
         if sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-            for option, value in zip((socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT), KEEPALIVE_S,
-                                     strict=True):
+            for option, value in zip(
+                (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT), KEEPALIVE_S, strict=True
+            ):
                 sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def data_received(self, data: bytes) -> None:
@@ -176,8 +194,14 @@
 class Client:
     """Carries out what a reflector asks for, until it is cancelled; `tell` hears of all that a call brings, at once."""
 
-    def __init__(self, access: Access, reflector: Reflector, tell: Callable[[list[Replace | Apply | Delete]], None],
-                 lost: Callable[[], None], clock_us: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        access: Access,
+        reflector: Reflector,
+        tell: Callable[[list[Replace | Apply | Delete]], None],
+        lost: Callable[[], None],
+        clock_us: Callable[[], int],
+    ) -> None:
         self.access = access
         self.reflector = reflector
         self.tell = tell
@@ -228,7 +252,8 @@
             head, context = request_head(self.access, call.target), tls_context(self.access)
             async with asyncio.timeout(CONNECT_S):
                 await asyncio.get_running_loop().create_connection(
-                    lambda: answer, self.access.host, self.access.port, ssl=context)
+                    lambda: answer, self.access.host, self.access.port, ssl=context
+                )
             assert answer.transport is not None
             answer.transport.write(head)
             await self.until_over(call, answer)
@@ -273,14 +298,22 @@
                 return self.reflector.failed(now_us, Failure(str(error)))
         if answer.failure is None and answer.status not in (0, 200):
             said = objects.read_status(bytes(answer.body))
-            return self.reflector.failed(now_us, Failure(
-                said.message or said.reason or "refused", answer.status, answer.retry_after_s))
+            return self.reflector.failed(
+                now_us, Failure(said.message or said.reason or "refused", answer.status, answer.retry_after_s)
+            )
         why = str(answer.failure) or type(answer.failure).__name__ if answer.failure else "the connection ended early"
         return self.reflector.failed(now_us, Failure(why))
 
 
-def make_client(access: Access, namespace: str, service: str, watch_s: int, seed: int,
-                tell: Callable[[list[Replace | Apply | Delete]], None], lost: Callable[[], None],
-                clock_us: Callable[[], int]) -> Client:
+def make_client(
+    access: Access,
+    namespace: str,
+    service: str,
+    watch_s: int,
+    seed: int,
+    tell: Callable[[list[Replace | Apply | Delete]], None],
+    lost: Callable[[], None],
+    clock_us: Callable[[], int],
+) -> Client:
     """A client for one service's slices."""
     return Client(access, Reflector(namespace, service, Random(seed), watch_s), tell, lost, clock_us)
--- a/ryepier/slices/listing.py
+++ b/ryepier/slices/listing.py
@@ -156,8 +156,9 @@
     def _entry(self, known: _Known) -> Entry:
         zones, verdict = self.rules.zones, known.verdict
         zone = zones.index(verdict.zone) if verdict.zone in zones else len(zones)
-        return Upstream(known.ident, known.told, zone, self.rules.unknown_kind, self._cell(known), 1.0,
-                        known.started_us), verdict.address
+        return Upstream(
+            known.ident, known.told, zone, self.rules.unknown_kind, self._cell(known), 1.0, known.started_us
+        ), verdict.address
 
     def _cell(self, known: _Known) -> int:
         """Hazard: two converters taken for one cell would let a request run twice; so where nothing is known each
--- a/ryepier/slices/merge.py
+++ b/ryepier/slices/merge.py
@@ -166,8 +166,15 @@
                 continue
             identity, rank = identity_of(endpoint, port), rank_of(endpoint)
             if identity not in said or said[identity].rank < rank:
-                said[identity] = Word(name, found.metadata.generation, (endpoint.addresses[0], port),
-                                      endpoint.zone or "", endpoint.node_name or "", endpoint.for_zones, rank)
+                said[identity] = Word(
+                    name,
+                    found.metadata.generation,
+                    (endpoint.addresses[0], port),
+                    endpoint.zone or "",
+                    endpoint.node_name or "",
+                    endpoint.for_zones,
+                    rank,
+                )
         return said
 
     def _port(self, one: Slice) -> int | None:
--- a/ryepier/slices/reflect.py
+++ b/ryepier/slices/reflect.py
@@ -171,6 +171,11 @@
         return Call(f"{self.path}?{urlencode(query)}", "list")
 
     def _watch(self) -> Call:
-        query = {"labelSelector": self.selector, "watch": "true", "allowWatchBookmarks": "true",
-                 "resourceVersion": self.version, "timeoutSeconds": str(self.watch_s)}
+        query = {
+            "labelSelector": self.selector,
+            "watch": "true",
+            "allowWatchBookmarks": "true",
+            "resourceVersion": self.version,
+            "timeoutSeconds": str(self.watch_s),
+        }
         return Call(f"{self.path}?{urlencode(query)}", "watch")
--- a/ryepier/slices/source.py
+++ b/ryepier/slices/source.py
@@ -67,8 +67,16 @@
         self.clock_us = clock_us
         self.merger = Merger(settings.port, settings.hold_us)
         self.listing = Listing(settings.rules)
-        self.client = make_client(settings.access, settings.namespace, settings.service, settings.watch_s,
-                                  settings.seed, self.take, self.lost, clock_us)
+        self.client = make_client(
+            settings.access,
+            settings.namespace,
+            settings.service,
+            settings.watch_s,
+            settings.seed,
+            self.take,
+            self.lost,
+            clock_us,
+        )
         self.version = 0
         self.synced = False  # a whole list has been had
         self.alarmed = False
@@ -90,11 +98,16 @@
             log.warning("the list as last written down can't be read: %s", error)
             return
         if cache.version != CACHE_VERSION or cache.service != self.service:
-            log.warning("the list as last written down is of version %d, of %s, and not used", cache.version,
-                        cache.service)
+            log.warning(
+                "the list as last written down is of version %d, of %s, and not used", cache.version, cache.service
+            )
             return
-        found = {one.identity: Verdict(one.identity, (one.host, one.port), one.zone, one.node, UpstreamState.READY,
-                                       False, 1, ()) for one in cache.ready}
+        found = {
+            one.identity: Verdict(
+                one.identity, (one.host, one.port), one.zone, one.node, UpstreamState.READY, False, 1, ()
+            )
+            for one in cache.ready
+        }
         self.merger.told = dict(found)
         self.merger.dirty = set(found)
         self.tell(ListKind.CACHED, self.listing.update(self.clock_us(), found))
@@ -162,8 +175,11 @@
         elif entries:
             self.tell(ListKind.DELTA, entries)
         if self.merger.alarmed and not self.alarmed:
-            log.error("EndpointSlices of %s: all are gone at once; the last list is held for %d s", self.service,
-                      self.settings.hold_us // 1_000_000)
+            log.error(
+                "EndpointSlices of %s: all are gone at once; the last list is held for %d s",
+                self.service,
+                self.settings.hold_us // 1_000_000,
+            )
         self.alarmed = self.merger.alarmed
         self.arm()
 
@@ -179,13 +195,15 @@
     def tell(self, kind: ListKind, entries: Entries) -> None:
         self.version += 1
         if entries:
-            names = " ".join(f"{entry.id}={address[0]}:{address[1]}:{entry.state.value}"
-                             for entry, address in entries[:LOGGED])
+            names = " ".join(
+                f"{entry.id}={address[0]}:{address[1]}:{entry.state.value}" for entry, address in entries[:LOGGED]
+            )
             more = f" and {len(entries) - LOGGED} more" if len(entries) > LOGGED else ""
             log.info("list %d, %s: %s%s", self.version, kind.value, names, more)
         upstreams: list[Upstream] = [entry for entry, _ in entries]
-        self.listener(UpstreamsUpdated(kind, upstreams, self.version), {
-            entry.id: address for entry, address in entries})
+        self.listener(
+            UpstreamsUpdated(kind, upstreams, self.version), {entry.id: address for entry, address in entries}
+        )
         if self.settings.cache is not None and self.synced and self.writing is None:
             self.writing = asyncio.get_running_loop().call_later(CACHE_EVERY_S, self.write_cache)
 
@@ -194,8 +212,11 @@
         self.writing = None
         path = self.settings.cache
         assert path is not None
-        ready = [_Cached(v.identity, *v.address, v.zone, v.node) for v in self.merger.told.values()
-                 if v.state is UpstreamState.READY]
+        ready = [
+            _Cached(v.identity, *v.address, v.zone, v.node)
+            for v in self.merger.told.values()
+            if v.state is UpstreamState.READY
+        ]
         part = path.with_name(f"{path.name}.part")
         try:
             part.write_bytes(msgspec.json.encode(_Cache(CACHE_VERSION, self.service, ready)))
--- a/ryepier/storm/detect.py
+++ b/ryepier/storm/detect.py
@@ -45,8 +45,10 @@
     def __str__(self) -> str:
         usual = f"first tries {self.surge:.2f} of the usual" if self.surge else "nothing known as usual"
         ended = "" if self.outage_ended_us is None else f", an outage over {self.outage_ended_us / 1e6:.1f} s ago"
-        return (f"{self.demand:.0f} a second come, {self.served:.0f} served, {self.later_share:.0%} are retries, "
-                f"{usual}{ended}")
+        return (
+            f"{self.demand:.0f} a second come, {self.served:.0f} served, {self.later_share:.0%} are retries, "
+            f"{usual}{ended}"
+        )
 
 
 @dataclass(slots=True)
@@ -169,8 +171,7 @@
         # those outside come back within the time that it takes to serve as many at the rate of now
         outside = max(0.0, sum(self.rates) - self.served) * FAST_US / 1e6
         window_us = min(LONGEST_WINDOW_US, 1e6 * outside / max(GROWTH * self.served, LEAST_RATE))
-        waits = [int(min(self.longest_wait_us, max(LEAST_WINDOW_US, window_us) * 2**number))
-                 for number in range(TRIES)]
+        waits = [int(min(self.longest_wait_us, max(LEAST_WINDOW_US, window_us) * 2**number)) for number in range(TRIES)]
         return StormUpdated(True, admit, waits, self._tenant_admit(), self.whole_seconds)
 
     def _tenant_admit(self) -> list[float]:
@@ -178,5 +179,7 @@
         if len(self.tenant_shares) < 2:
             return []
         whole = sum(self.rates)
-        return [min(1.0, share * whole / self.tenants[index]) if self.tenants.get(index, 0.0) > 0 else 1.0
-                for index, share in enumerate(self.tenant_shares)]
+        return [
+            min(1.0, share * whole / self.tenants[index]) if self.tenants.get(index, 0.0) > 0 else 1.0
+            for index, share in enumerate(self.tenant_shares)
+        ]
--- a/ryepier/storm/guard.py
+++ b/ryepier/storm/guard.py
@@ -46,8 +46,7 @@
 class Guard:
     """Recognises tries and observes ends for a host; see `ryepier.sidecar.host`."""
 
-    def __init__(self, detector: Detector, told: Callable[[StormUpdated], None],
-                 clock_us: Callable[[], int]) -> None:
+    def __init__(self, detector: Detector, told: Callable[[StormUpdated], None], clock_us: Callable[[], int]) -> None:
         self.detector = detector
         self.told = told
         self.clock_us = clock_us
--- a/ryepier/storm/sketch.py
+++ b/ryepier/storm/sketch.py
@@ -48,7 +48,7 @@
 
 
 def _cells(hashed: bytes) -> list[int]:
-    return [int.from_bytes(hashed[i:i + 4], "big") % WIDTH for i in range(0, 4 * ROWS, 4)]
+    return [int.from_bytes(hashed[i : i + 4], "big") % WIDTH for i in range(0, 4 * ROWS, 4)]
 
 
 class Unserved:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -62,8 +62,9 @@
         self.listed = set() if faults else {entry.test for entry in entries}
 
     @pytest.hookimpl(wrapper=True, tryfirst=True)  # after all others, so that what a mark makes of it is seen
-    def pytest_runtest_makereport(self, item: pytest.Item, call: pytest.CallInfo[None]
-                                  ) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    def pytest_runtest_makereport(
+        self, item: pytest.Item, call: pytest.CallInfo[None]
+    ) -> Generator[None, pytest.TestReport, pytest.TestReport]:
         report = yield
         if item.nodeid not in self.listed:
             return report
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -53,7 +53,7 @@
     starts = [",".join(fields[:end]).strip() for end in range(len(fields) - 2, 0, -1)]
     named = next((start for start in starts if start in collected), None)
     if named is not None:
-        cause, _, issue = line.strip()[len(named):].lstrip(" ,").rpartition(",")
+        cause, _, issue = line.strip()[len(named) :].lstrip(" ,").rpartition(",")
         entry = Entry(named, cause.strip(), issue.strip())
     elif match := LINE.fullmatch(line):
         entry = Entry(*(match[name].strip() for name in ("test", "cause", "issue")))
@@ -87,12 +87,19 @@
 
 def asked_for(test: str, arguments: Collection[str]) -> bool:
     """Whether a run of these folders, files and tests, by their paths from the root, takes in the test."""
-    return any(argument == "." or test == argument or test.startswith((argument + "/", argument + "::", argument + "["))
-               for argument in arguments)
-
-
-def judge(lines: Sequence[str], collected: Collection[str], selected: Collection[str],
-          endings: Mapping[str, Ending], wanted: Callable[[str], bool]) -> Verdict:
+    return any(
+        argument == "." or test == argument or test.startswith((argument + "/", argument + "::", argument + "["))
+        for argument in arguments
+    )
+
+
+def judge(
+    lines: Sequence[str],
+    collected: Collection[str],
+    selected: Collection[str],
+    endings: Mapping[str, Ending],
+    wanted: Callable[[str], bool],
+) -> Verdict:
     """The verdict on a run that has ended. `collected` are all tests found, `selected` those of them that were to run,
     `wanted` says whether a test had to be found."""
     entries, faults = parse_all(lines, collected)
--- a/tests/net.py
+++ b/tests/net.py
@@ -29,8 +29,15 @@
     return [
         RequestClass("read", aim_us=1_000_000, deadline_us=20_000_000, late_worth=0.5),
         RequestClass("pay", aim_us=1_000_000, deadline_us=20_000_000, late_worth=0.5, effect="at_most_once"),
-        RequestClass("mark", aim_us=1_000_000, deadline_us=20_000_000, late_worth=0.5,
-                     effect="deduplicated", group="cell", memory_us=20_000_000),
+        RequestClass(
+            "mark",
+            aim_us=1_000_000,
+            deadline_us=20_000_000,
+            late_worth=0.5,
+            effect="deduplicated",
+            group="cell",
+            memory_us=20_000_000,
+        ),
     ]
 
 
@@ -77,8 +84,10 @@
 
 def answering(*answers: bytes) -> Script:
     """Gives these answers in turn, the last one ever after; an empty one breaks the connection."""
-    async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                     writer: asyncio.StreamWriter) -> None:
+
+    async def script(
+        upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         answer = answers[min(number, len(answers) - 1)]
         if not answer:
             writer.transport.abort()
@@ -89,16 +98,17 @@
     return script
 
 
-async def silent(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                 writer: asyncio.StreamWriter) -> None:
+async def silent(upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     await reader.read()
     raise ConnectionResetError
 
 
 def holding(let: asyncio.Event) -> Script:
     """Answers once it is let."""
-    async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                     writer: asyncio.StreamWriter) -> None:
+
+    async def script(
+        upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         await let.wait()
         writer.write(OK)
 
@@ -106,8 +116,16 @@
 
 
 def entry(uid: str, port: int, state: str = "active", boot_ms: int = 0) -> dict[str, Any]:
-    return {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "a", "model": "m", "pod_group": 1,
-            "state": state, "capacity_hint": 1.0, "boot_ms": boot_ms}
+    return {
+        "uid": uid,
+        "endpoint": f"127.0.0.1:{port}",
+        "az": "a",
+        "model": "m",
+        "pod_group": 1,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": boot_ms,
+    }
 
 
 def listing(*entries: dict[str, Any], rev: int = 1, full: bool = True) -> dict[str, Any]:
@@ -166,22 +184,46 @@
 
 
 SETTINGS: dict[str, Any] = {
-    "accounts": [], "areas": ["a", "b"], "granularity": 5000,
-    "bounds": {"conn-idle": 5000000, "dial-timeout": 200000, "most-tries": 4, "cancel": True, "probes": True,
-               "retry-after": True, "second-copies": True},
-    "instances": 3, "invariants": {"ask-within": 10000000, "cold-share": 0.32, "fall": 2000000,
-    "overload-factor": 2.5, "warm-up": 8900000}, "kinds": ["m"], "locality": 1, "registry-mode": "on_request",
-    "report": {"how": "probe", "names": ["rif", "q"]}, "weights": "nominal",
-    "request-classes": [{"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "at_most_once",
-                         "worth": 10.0}],
+    "accounts": [],
+    "areas": ["a", "b"],
+    "granularity": 5000,
+    "bounds": {
+        "conn-idle": 5000000,
+        "dial-timeout": 200000,
+        "most-tries": 4,
+        "cancel": True,
+        "probes": True,
+        "retry-after": True,
+        "second-copies": True,
+    },
+    "instances": 3,
+    "invariants": {
+        "ask-within": 10000000,
+        "cold-share": 0.32,
+        "fall": 2000000,
+        "overload-factor": 2.5,
+        "warm-up": 8900000,
+    },
+    "kinds": ["m"],
+    "locality": 1,
+    "registry-mode": "on_request",
+    "report": {"how": "probe", "names": ["rif", "q"]},
+    "weights": "nominal",
+    "request-classes": [{"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "at_most_once", "worth": 10.0}],
 }
 
 
 def configuration(folder: Path, **changes: Any) -> Path:
     path = folder / "config.json"
-    whole = {"name": "n0", "listen": f"127.0.0.1:{free_port()}", "discovery": "127.0.0.1:1", "seed": "8c1f",
-             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-             "known": listing(entry("u", 1))}
+    whole = {
+        "name": "n0",
+        "listen": f"127.0.0.1:{free_port()}",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": SETTINGS,
+        "known": listing(entry("u", 1)),
+    }
     path.write_text(json.dumps(whole | changes))
     return path
 
@@ -189,15 +231,18 @@
 numbers = itertools.count(1000)
 
 
-def request(kind: str = "read", ident: str | None = None, body: bytes = b"", deadline_ms: object = 15_000,
-            extra: str = "") -> bytes:
+def request(
+    kind: str = "read", ident: str | None = None, body: bytes = b"", deadline_ms: object = 15_000, extra: str = ""
+) -> bytes:
     """A request as the application sends it, with an id of its own if none is given."""
     method = "GET" if kind == "read" else "POST"
     ident = str(next(numbers)) if ident is None else ident
     key = "Idempotency-Key: k\r\n" if kind == "mark" else ""
     length = "" if kind == "read" else f"Content-Length: {len(body)}\r\n"
-    return (f"{method} /{kind}/it?x=1 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {ident}\r\n"
-            f"X-Class: {kind}\r\nX-Deadline-Ms: {deadline_ms}\r\n{key}{length}{extra}\r\n").encode() + body
+    return (
+        f"{method} /{kind}/it?x=1 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {ident}\r\n"
+        f"X-Class: {kind}\r\nX-Deadline-Ms: {deadline_ms}\r\n{key}{length}{extra}\r\n"
+    ).encode() + body
 
 
 @dataclass
@@ -224,9 +269,14 @@
 
 
 @asynccontextmanager
-async def sidecar(*upstreams: Upstream, discovery: Discovery | None = None, idle_us: int = 60_000_000,
-                  known: dict[str, Any] | None = None, path: str = "",
-                  **changes: Any) -> AsyncIterator[Sidecar]:
+async def sidecar(
+    *upstreams: Upstream,
+    discovery: Discovery | None = None,
+    idle_us: int = 60_000_000,
+    known: dict[str, Any] | None = None,
+    path: str = "",
+    **changes: Any,
+) -> AsyncIterator[Sidecar]:
     """A sidecar whose known list holds these upstreams."""
     for upstream in upstreams:
         await upstream.start()
@@ -234,14 +284,28 @@
     for each in (discovery, agent):
         if each is not None:
             await each.start()
-    values: dict[str, Any] = {"classes": classes(), "max_attempts": 4, "connect_timeout_us": 10_000_000,
-                              "max_retry_after_us": 1_000_000, "list_on_request": discovery is not None,
-                              "ask_within_us": 10_000_000}
+    values: dict[str, Any] = {
+        "classes": classes(),
+        "max_attempts": 4,
+        "connect_timeout_us": 10_000_000,
+        "max_retry_after_us": 1_000_000,
+        "list_on_request": discovery is not None,
+        "ask_within_us": 10_000_000,
+    }
     known = known or listing(*(entry(f"u{i}", upstream.port) for i, upstream in enumerate(upstreams)))
     port, stop, reload = free_port(), asyncio.Event(), asyncio.Event()
-    config = Config(listen=("127.0.0.1", port), discovery=("127.0.0.1", (discovery or agent or Discovery()).port),
-                    seed=1, sockets=200, settings=Settings(**(values | changes)), zones=["a"], kinds=["m"],
-                    idle_us=idle_us, known=known, path=path)
+    config = Config(
+        listen=("127.0.0.1", port),
+        discovery=("127.0.0.1", (discovery or agent or Discovery()).port),
+        seed=1,
+        sockets=200,
+        settings=Settings(**(values | changes)),
+        zones=["a"],
+        kinds=["m"],
+        idle_us=idle_us,
+        known=known,
+        path=path,
+    )
     task = asyncio.create_task(serve(config, stop, reload))
     try:
         async with asyncio.timeout(PATIENCE_S):
@@ -270,6 +334,7 @@
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
     """One test, with a bound on its time."""
+
     async def limited() -> None:
         async with asyncio.timeout(3 * PATIENCE_S):
             await test()
--- a/tests/sim_trace.py
+++ b/tests/sim_trace.py
@@ -19,15 +19,25 @@
 from ryepier.sim.run import SimLoop, simulate
 from tests.net import SETTINGS, configuration, listing, read_message
 
-CLASSES = [{"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "at_most_once", "worth": 10.0},
-           {"name": "look", "aim": 400000, "deadline": 1200000, "effect": "idempotent", "worth": 1.0}]
+CLASSES = [
+    {"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "at_most_once", "worth": 10.0},
+    {"name": "look", "aim": 400000, "deadline": 1200000, "effect": "idempotent", "worth": 1.0},
+]
 REQUESTS = 200
 DISCOVERY = ("10.1.0.1", 8500)
 
 
 def target(number: int, state: str = "active") -> dict[str, object]:
-    return {"uid": f"c{number}", "endpoint": f"10.0.0.{number}:9000", "az": "a", "model": "m", "pod_group": number,
-            "state": state, "capacity_hint": 1.0, "boot_ms": 0}
+    return {
+        "uid": f"c{number}",
+        "endpoint": f"10.0.0.{number}:9000",
+        "az": "a",
+        "model": "m",
+        "pod_group": number,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
+    }
 
 
 class Play:
@@ -38,8 +48,13 @@
         self.random = random.Random(seed)
         self.trace = hashlib.blake2b()
         self.served = 0
-        self.config = load(str(configuration(
-            folder, known=None, settings=SETTINGS | {"request-classes": CLASSES, "registry-mode": "pushed"})))
+        self.config = load(
+            str(
+                configuration(
+                    folder, known=None, settings=SETTINGS | {"request-classes": CLASSES, "registry-mode": "pushed"}
+                )
+            )
+        )
         self.config.listen, self.config.discovery = ("10.2.0.1", 80), DISCOVERY
 
     def note(self, *what: object) -> None:
@@ -62,8 +77,12 @@
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         first = listing(*(target(number) for number in range(1, 5)))
-        for after_s, lines in ((0.0, first), (1.0, listing(target(2, "leaving"), rev=2, full=False)), (2.0, None),
-                               (4.0, None)):
+        for after_s, lines in (
+            (0.0, first),
+            (1.0, listing(target(2, "leaving"), rev=2, full=False)),
+            (2.0, None),
+            (4.0, None),
+        ):
             await asyncio.sleep(after_s)
             data = (json.dumps(lines) if lines else "").encode() + b"\n"
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
@@ -74,8 +93,11 @@
         kind, method = (("look", "GET"), ("pay", "POST"))[number % 2]
         body = b"" if method == "GET" else b"b"
         length = f"Content-Length: {len(body)}\r\n" if body else ""
-        writer.write(f"{method} /{kind}/{number} HTTP/1.1\r\nHost: x\r\nX-Request-Id: r{number}\r\nX-Class: {kind}\r\n"
-                     f"X-Deadline-Ms: 1000\r\n{length}\r\n".encode() + body)
+        writer.write(
+            f"{method} /{kind}/{number} HTTP/1.1\r\nHost: x\r\nX-Request-Id: r{number}\r\nX-Class: {kind}\r\n"
+            f"X-Deadline-Ms: 1000\r\n{length}\r\n".encode()
+            + body
+        )
         head = await reader.readuntil(b"\r\n\r\n")
         self.note("client", number, head)
         self.served += b" 200 " in head
--- a/tests/test_calm.py
+++ b/tests/test_calm.py
@@ -26,9 +26,15 @@
 def test_events_about_what_is_unknown_change_nothing() -> None:
     world = World()
     world.tell_list(upstreams(3))
-    for event in (AttemptEnded(77, 0, 100, Outcome.OK, 5, True), RequestGone(77), TimerFired(123456),
-                  StreamStarted(77, 0, 100, 5), ProbeEnded(4242, Outcome.OK, 5, [1.0, 2.0]),
-                  PeerMessage(1, b"hi"), UpstreamsUpdated(Kind.FAILED)):
+    for event in (
+        AttemptEnded(77, 0, 100, Outcome.OK, 5, True),
+        RequestGone(77),
+        TimerFired(123456),
+        StreamStarted(77, 0, 100, 5),
+        ProbeEnded(4242, Outcome.OK, 5, [1.0, 2.0]),
+        PeerMessage(1, b"hi"),
+        UpstreamsUpdated(Kind.FAILED),
+    ):
         assert world.tell(event) == []
     assert world.sends(world.arrive(0))
 
@@ -74,19 +80,22 @@
     assert told[0] == told[1] != told[2]
 
 
-@pytest.mark.parametrize(("make", "words"), [
-    (lambda: RequestClass("x", 0, 10), "aim_us above 0"),
-    (lambda: RequestClass("x", 10, -1), "deadline_us above 0"),
-    (lambda: RequestClass("x", 10, 10, effect="maybe"), "idempotent, deduplicated, at_most_once"),
-    (lambda: RequestClass("x", 10, 10, group="planet"), "all, zone, cell"),
-    (lambda: RequestClass("x", 10, 10, late_worth=2), "late_worth from 0 to 1"),
-    (lambda: Tenant("t", -1), "allowance_per_s of 0 or more"),
-    (lambda: settings(max_attempts=-1), "max_attempts of 1 or more"),
-    (lambda: settings(instances=0), "instances of 1 or more"),
-    (lambda: settings(cold_share=0), "cold_share above 0"),
-    (lambda: settings(warm_up_us=-5), "warm_up_us of 0 or more"),
-    (lambda: settings(classes=[]), "at least one request class"),
-])
+@pytest.mark.parametrize(
+    ("make", "words"),
+    [
+        (lambda: RequestClass("x", 0, 10), "aim_us above 0"),
+        (lambda: RequestClass("x", 10, -1), "deadline_us above 0"),
+        (lambda: RequestClass("x", 10, 10, effect="maybe"), "idempotent, deduplicated, at_most_once"),
+        (lambda: RequestClass("x", 10, 10, group="planet"), "all, zone, cell"),
+        (lambda: RequestClass("x", 10, 10, late_worth=2), "late_worth from 0 to 1"),
+        (lambda: Tenant("t", -1), "allowance_per_s of 0 or more"),
+        (lambda: settings(max_attempts=-1), "max_attempts of 1 or more"),
+        (lambda: settings(instances=0), "instances of 1 or more"),
+        (lambda: settings(cold_share=0), "cold_share above 0"),
+        (lambda: settings(warm_up_us=-5), "warm_up_us of 0 or more"),
+        (lambda: settings(classes=[]), "at least one request class"),
+    ],
+)
 def test_misuse_says_what_was_expected(make: object, words: str) -> None:
     with pytest.raises(ValueError, match="expected") as caught:
         make()  # type: ignore[operator]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -28,9 +28,17 @@
 
 
 def a_row(budget: float = 200.0, mechanism: str = "watch", experiment: str = "scale-x", **more: object) -> Row:
-    return Row(role="Sidecar", what="CPU", unit="ms", mechanism=mechanism, experiment=experiment,
-               work=on_line("cpu_{}_known", lambda plan: plan.converters), slope_unit="ms a converter",
-               budget=lambda plan: budget, **more)  # type: ignore[arg-type]
+    return Row(
+        role="Sidecar",
+        what="CPU",
+        unit="ms",
+        mechanism=mechanism,
+        experiment=experiment,
+        work=on_line("cpu_{}_known", lambda plan: plan.converters),
+        slope_unit="ms a converter",
+        budget=lambda plan: budget,
+        **more,
+    )  # type: ignore[arg-type]
 
 
 def test_a_row_is_its_line_at_the_size() -> None:
@@ -66,8 +74,10 @@
 
 
 def test_what_no_line_tells_breaks_beyond_the_largest_size_that_fits() -> None:
-    served = {f"served_share_369_per_s_{known}_known": share
-              for known, share in ((30, 1.0), (150, 0.995), (400, 0.7), (1600, 0.02))}
+    served = {
+        f"served_share_369_per_s_{known}_known": share
+        for known, share in ((30, 1.0), (150, 0.995), (400, 0.7), (1600, 0.02))
+    }
     row = msgspec.structs.replace(a_row(budget=0.01), work=capacity_rows.not_served)
     line = capacity.line_of(row, [kept(served)], PLAN)
     assert line.standing == "over" and line.breaks_at == pytest.approx(150 / 1600)
@@ -86,19 +96,39 @@
     assert [line.breaks_at for line in order[1:]] == pytest.approx([0.25, 0.5, 999 / 160])
 
 
-@pytest.mark.parametrize("at_size, grows, budget, share", [
-    (100.0, 100.0, 50.0, 0.5), (100.0, 50.0, 75.0, 0.5), (100.0, 50.0, 25.0, 0.0), (100.0, 0.0, 50.0, 0.0),
-    (100.0, 0.0, 200.0, None), (100.0, -5.0, 200.0, None), (100.0, 50.0, 200.0, 3.0)])
-def test_the_share_of_the_size_at_which_a_budget_is_used(at_size: float, grows: float, budget: float,
-                                                         share: float | None) -> None:
+@pytest.mark.parametrize(
+    "at_size, grows, budget, share",
+    [
+        (100.0, 100.0, 50.0, 0.5),
+        (100.0, 50.0, 75.0, 0.5),
+        (100.0, 50.0, 25.0, 0.0),
+        (100.0, 0.0, 50.0, 0.0),
+        (100.0, 0.0, 200.0, None),
+        (100.0, -5.0, 200.0, None),
+        (100.0, 50.0, 200.0, 3.0),
+    ],
+)
+def test_the_share_of_the_size_at_which_a_budget_is_used(
+    at_size: float, grows: float, budget: float, share: float | None
+) -> None:
     assert capacity.share_at_budget(at_size, grows, budget) == share
     if share is not None and grows > 0:  # what grows as the square of the size has used it up later, or later still
-        assert capacity.share_at_budget(at_size, grows, budget, 2) == pytest.approx(share ** 0.5)
-
-
-@pytest.mark.parametrize("value, text", [
-    (0.0, "0"), (0.00065432, "0.00065"), (0.0312, "0.0312"), (28.172, "28.2"), (999.4, "999"), (259101.9, "259,000"),
-    (1450.8, "1,450"), (-1450.8, "-1,450")])
+        assert capacity.share_at_budget(at_size, grows, budget, 2) == pytest.approx(share**0.5)
+
+
+@pytest.mark.parametrize(
+    "value, text",
+    [
+        (0.0, "0"),
+        (0.00065432, "0.00065"),
+        (0.0312, "0.0312"),
+        (28.172, "28.2"),
+        (999.4, "999"),
+        (259101.9, "259,000"),
+        (1450.8, "1,450"),
+        (-1450.8, "-1,450"),
+    ],
+)
 def test_a_number_has_three_digits(value: float, text: str) -> None:
     assert capacity.number(value) == text
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -28,20 +28,23 @@
     return explore.explore(model, processes=2, plant=PLANTS[plant][1])
 
 
-@pytest.mark.parametrize(("plant", "model"), [
-    ("lost-answer", Model("m", 1, ("once",), attempts=1, outcomes=("reset",))),
-    ("held-answer", Model("m", 1, ("once",), attempts=1, outcomes=("reset",))),
-    ("two-at-once", Model("m", 1, ("once",), attempts=2, outcomes=("ok",))),
-    ("careless-resend", Model("m", 2, ("once",), attempts=2, outcomes=("reset",))),
-    ("any-cell", Model("m", 2, ("cell",), attempts=2, outcomes=("reset",))),
-    ("long-memory", Model("m", 1, ("cell",), attempts=2, outcomes=("reset",))),
-    ("deaf", Model("m", 1, ("ask", "ask"), attempts=1, changes=1, outcomes=("ok",))),
-    ("freed-twice", Model("m", 1, ("once",), attempts=1, outcomes=("ok",))),
-    ("never-forgotten", Model("m", 1, ("ask",), attempts=1, outcomes=("ok",))),
-    ("one-more", Model("m", 2, ("ask",), attempts=1, outcomes=("reset",))),
-    ("glib-refusal", Model("m", 1, ("once",), attempts=1, outcomes=("reset",))),
-    ("second-answer", Model("m", 1, ("ask",), attempts=1, leaves=1, outcomes=("ok",))),
-])
+@pytest.mark.parametrize(
+    ("plant", "model"),
+    [
+        ("lost-answer", Model("m", 1, ("once",), attempts=1, outcomes=("reset",))),
+        ("held-answer", Model("m", 1, ("once",), attempts=1, outcomes=("reset",))),
+        ("two-at-once", Model("m", 1, ("once",), attempts=2, outcomes=("ok",))),
+        ("careless-resend", Model("m", 2, ("once",), attempts=2, outcomes=("reset",))),
+        ("any-cell", Model("m", 2, ("cell",), attempts=2, outcomes=("reset",))),
+        ("long-memory", Model("m", 1, ("cell",), attempts=2, outcomes=("reset",))),
+        ("deaf", Model("m", 1, ("ask", "ask"), attempts=1, changes=1, outcomes=("ok",))),
+        ("freed-twice", Model("m", 1, ("once",), attempts=1, outcomes=("ok",))),
+        ("never-forgotten", Model("m", 1, ("ask",), attempts=1, outcomes=("ok",))),
+        ("one-more", Model("m", 2, ("ask",), attempts=1, outcomes=("reset",))),
+        ("glib-refusal", Model("m", 1, ("once",), attempts=1, outcomes=("reset",))),
+        ("second-answer", Model("m", 1, ("ask",), attempts=1, leaves=1, outcomes=("ok",))),
+    ],
+)
 def test_each_planted_mistake_breaks_its_rule(plant: str, model: Model) -> None:
     outcome = in_a_process(plant, model)
     assert outcome.breach is not None and outcome.breach.rule == PLANTS[plant][0]
@@ -65,18 +68,19 @@
     assert not part.whole and keep.exists()
     rest = explore.explore(model, processes=2, keep=keep)
     assert rest.whole and (rest.states, rest.transitions) == tuple(
-        getattr(explore.explore(model, processes=2), name) for name in ("states", "transitions"))
+        getattr(explore.explore(model, processes=2), name) for name in ("states", "transitions")
+    )
     with pytest.raises(ValueError, match="another model"):
         explore.explore(MODELS["cells"], processes=2, keep=keep)
 
 
 def test_a_trace_says_which_lines_sent_what_and_a_bad_file_is_refused(tmp_path: Path) -> None:
-    lines = trace.chart(Model("m", 1, ("ask",), outcomes=("reset", "ok")), [
-        ARRIVE, Step("answer", 0, "reset")])
+    lines = trace.chart(Model("m", 1, ("ask",), outcomes=("reset", "ok")), [ARRIVE, Step("answer", 0, "reset")])
     assert any("send by balancer.py:" in line and "place" in line for line in lines)
     path = tmp_path / "path.json"
-    path.write_text(json.dumps({"model": {"name": "m", "converters": 1, "requests": ["ask"]},
-                                "path": [["answer", 7, "ok", []]]}))
+    path.write_text(
+        json.dumps({"model": {"name": "m", "converters": 1, "requests": ["ask"]}, "path": [["answer", 7, "ok", []]]})
+    )
     got = CliRunner().invoke(main, ["check", "trace", str(path)])
     assert got.exit_code == 2 and "IndexError" in got.stderr
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -5,7 +5,6 @@
 at the window's start; `worst_window` says how much of that, with the margin for chance, the fleet sent at most.
 """
 
-
 from __future__ import annotations
 
 import heapq
@@ -77,8 +76,14 @@
         self.case = case
         self.dice = random.Random(case.seed)
         self.config: Settings = settings(
-            classes=[RequestClass("read", 600_000, 1_500_000, effect="at_most_once")], instances=case.sidecars,
-            second_copies=False, cold_share=0.12, warm_up_us=20_000_000, overload_factor=4.0, fall_us=3_000_000)
+            classes=[RequestClass("read", 600_000, 1_500_000, effect="at_most_once")],
+            instances=case.sidecars,
+            second_copies=False,
+            cold_share=0.12,
+            warm_up_us=20_000_000,
+            overload_factor=4.0,
+            fall_us=3_000_000,
+        )
         self.now_us = START_US
         self.balancers = [Balancer(self.config, case.seed * 100 + n, START_US) for n in range(case.sidecars)]
         self.converters = [Converter() for _ in range(CONVERTERS)]
@@ -156,7 +161,7 @@
             ranked = sorted(range(len(self.rates)), key=self.rates.__getitem__)
             moved = {n: self.rates[other] for n, other in zip(ranked, reversed(ranked), strict=True)}
             self.rates = [moved[n] for n in range(len(self.rates))]
-        for converter in self.converters[:self.case.cold]:
+        for converter in self.converters[: self.case.cold]:
             converter.started_us, converter.free_us = self.now_us, [self.now_us] * CORES
         self.tell_list()
 
@@ -170,7 +175,7 @@
 
     def worst_window(self) -> float:
         """The most that any cold converter was sent in a window of the settings' length, over what it may get."""
-        return max(self.worst_of(converter) for converter in self.converters[:self.case.cold])
+        return max(self.worst_of(converter) for converter in self.converters[: self.case.cold])
 
     def worst_of(self, converter: Converter) -> float:
         window: deque[tuple[int, float]] = deque()
@@ -182,21 +187,36 @@
                 work -= window.popleft()[1]
             # a window ends with each request; no capacity is counted that came only after its start
             start_us = max(converter.started_us, at_us - self.config.fall_us)
-            allowed = (self.config.overload_factor * self.warmth(converter, start_us) * CAPACITY
-                       * self.config.fall_us / 1_000_000)
+            allowed = (
+                self.config.overload_factor
+                * self.warmth(converter, start_us)
+                * CAPACITY
+                * self.config.fall_us
+                / 1_000_000
+            )
             worst = max(worst, work / (allowed + 2 * allowed**0.5 + 2))
         return worst
 
     def used(self) -> float:
         """What the cold ones were sent beside the least that they could do."""
-        sent = sum(cost for c in self.converters[:self.case.cold] for _, cost in c.got)
+        sent = sum(cost for c in self.converters[: self.case.cold] for _, cost in c.got)
         half_us = self.converters[0].started_us + COLD_US // 2
         can = CAPACITY * COLD_US / 1_000_000 * self.warmth(self.converters[0], half_us)
         return sent / (can * self.case.cold)
 
-CASES = [Case(4, 1), Case(4, 4, HEAVY_HINTED, 2.0), Case(4, 10, HEAVY), Case(20, 1, EVEN, 2.0), Case(20, 4, HEAVY),
-         Case(20, 10, HEAVY_HINTED, 2.0), Case(30, 1, HEAVY_HINTED), Case(30, 4, EVEN, 2.0), Case(30, 10, HEAVY, 2.0),
-         Case(20, 4, EVEN, 2.0, moves=True)]
+
+CASES = [
+    Case(4, 1),
+    Case(4, 4, HEAVY_HINTED, 2.0),
+    Case(4, 10, HEAVY),
+    Case(20, 1, EVEN, 2.0),
+    Case(20, 4, HEAVY),
+    Case(20, 10, HEAVY_HINTED, 2.0),
+    Case(30, 1, HEAVY_HINTED),
+    Case(30, 4, EVEN, 2.0),
+    Case(30, 10, HEAVY, 2.0),
+    Case(20, 4, EVEN, 2.0, moves=True),
+]
 
 
 @pytest.mark.parametrize("case", CASES, ids=Case.name)
@@ -208,7 +228,8 @@
 
 
 def test_a_fleet_whose_sidecars_each_take_the_whole_for_their_own_pushes_it_over(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     case, advance = Case(30, 4, EVEN, 2.0), Balancer.advance_turns
 
     def planted(balancer: Balancer, pool: Pool, served: float) -> None:
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -34,18 +34,23 @@
     assert ">= 1" in found[2] and "did you mean 'logging'?" in found[3]
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    ("[logging]\nformat = \n", "line 2: not TOML"),
-    ("logging = 3\n", "line 1: logging: expected a table, got int"),
-    ("[logging]\nlines_per_s = true\n", "line 2: logging.lines_per_s: expected `int`, got `bool`, got True"),
-])
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("[logging]\nformat = \n", "line 2: not TOML"),
+        ("logging = 3\n", "line 1: logging: expected a table, got int"),
+        ("[logging]\nlines_per_s = true\n", "line 2: logging.lines_per_s: expected `int`, got `bool`, got True"),
+    ],
+)
 def test_what_is_no_such_file_is_told_in_a_line(text: str, told: str) -> None:
     assert problems(text)[0].startswith(told)
 
 
 def test_the_environment_goes_before_the_file_and_is_checked_like_it() -> None:
-    got = operators.parse('[logging]\nformat = "plain"\nlevel = "debug"\n',
-                          {"RYEPIER_LOGGING__FORMAT": "json", "RYEPIER_LOGGING__LINES_PER_S": "7", "HOME": "/"})
+    got = operators.parse(
+        '[logging]\nformat = "plain"\nlevel = "debug"\n',
+        {"RYEPIER_LOGGING__FORMAT": "json", "RYEPIER_LOGGING__LINES_PER_S": "7", "HOME": "/"},
+    )
     assert (got.logging.format, got.logging.level, got.logging.lines_per_s) == ("json", "debug", 7)
     assert "logging.format" in problems("", RYEPIER_LOGGING__FORMAT="loud")[0]
 
@@ -64,12 +69,15 @@
     assert world_problems("\n".join(lines)) == [(40, "classes[1].effect")]
 
 
-@pytest.mark.parametrize(("old", "new", "key"), [
-    ("work_ms = [17.0, 33.0]", "work_ms = [33.0, 17.0]", "classes[0]"),
-    ("share = 0.65", "share = 0.95", ""),  # together with the other class more than all
-    ("count = 6", "cuont = 6", "converters[0].cuont"),
-    ("rate_per_s = 700.0", "rate_per_s = 7e8", ""),
-    ("skew = 0.5", "skew = 0.5\n[[faults]]\nkind = \"heavy-tail\"\nat_s = 1.0\n", ""),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ("work_ms = [17.0, 33.0]", "work_ms = [33.0, 17.0]", "classes[0]"),
+        ("share = 0.65", "share = 0.95", ""),  # together with the other class more than all
+        ("count = 6", "cuont = 6", "converters[0].cuont"),
+        ("rate_per_s = 700.0", "rate_per_s = 7e8", ""),
+        ("skew = 0.5", 'skew = 0.5\n[[faults]]\nkind = "heavy-tail"\nat_s = 1.0\n', ""),
+    ],
+)
 def test_worlds_that_make_no_sense_are_refused(old: str, new: str, key: str) -> None:
     assert key in [found for _, found in world_problems(STEADY.replace(old, new, 1))]
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -26,8 +26,7 @@
 
 def start(sim: str, data: bytes) -> subprocess.CompletedProcess[bytes]:
     plain = {k: v for k, v in os.environ.items() if not k.startswith(("PYTHON", "VIRTUAL_ENV"))}
-    return subprocess.run(["/bin/sh", "-c", sim], cwd=ROOT, input=data, capture_output=True, timeout=60,
-                          env=plain)
+    return subprocess.run(["/bin/sh", "-c", sim], cwd=ROOT, input=data, capture_output=True, timeout=60, env=plain)
 
 
 def test_the_deployed_command_answers_and_ends_with_its_input(sim: str) -> None:
@@ -59,8 +58,12 @@
     plain = {0, 1, 2, 4, 8, 20, 0.02, 0.1, 0.2, 0.25, 0.3, 0.5, 1_000_000}  # fit nobody
     tree = ast.parse("".join((ROOT / name).read_text() for name in DEPLOY["policy"]))
     bodies = [node for node in tree.body if isinstance(node, ast.ClassDef)]
-    figures = {node.value for body in bodies for node in ast.walk(body)
-               if isinstance(node, ast.Constant) and type(node.value) in (int, float)}
+    figures = {
+        node.value
+        for body in bodies
+        for node in ast.walk(body)
+        if isinstance(node, ast.Constant) and type(node.value) in (int, float)
+    }
     assert figures - plain == set()
     assert "deployment" not in ast.dump(tree).lower()
 
@@ -72,15 +75,17 @@
 
 def test_the_package_needs_the_standard_library_only() -> None:
     code = "import sys, ryepier.balancer.adapter; print(*sorted({m.split('.')[0] for m in sys.modules}))"
-    found = subprocess.run([sys.executable, "-S", "-c", code], cwd=ROOT, capture_output=True, text=True,
-                           check=True, timeout=60).stdout.split()
+    found = subprocess.run(
+        [sys.executable, "-S", "-c", code], cwd=ROOT, capture_output=True, text=True, check=True, timeout=60
+    ).stdout.split()
     assert set(found) - set(sys.stdlib_module_names) <= {"ryepier", "__main__", "sitecustomize"}
 
 
 def test_the_deploy_file_names_every_package_that_the_sidecar_imports() -> None:
     code = "import sys, ryepier.sidecar.__main__; print(*(getattr(m, '__file__', None) for m in sys.modules.values()))"
-    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True,
-                           check=True, timeout=60).stdout.split()
+    found = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True, timeout=60
+    ).stdout.split()
     ours = {Path(name).relative_to(ROOT) for name in found if Path(name).is_relative_to(ROOT / "ryepier")}
     named = [Path(name) for name in DEPLOY["node"]]
     assert ours and not [path for path in ours if not any(path.is_relative_to(name) for name in named)]
@@ -89,7 +94,8 @@
 def test_the_readme_example_runs_as_written() -> None:
     text = (ROOT / "README.md").read_text()
     example = text.split("```python\n")[1].split("```")[0]
-    done = subprocess.run([sys.executable, "-c", example], cwd=ROOT, capture_output=True, text=True,
-                          timeout=60, check=True)
+    done = subprocess.run(
+        [sys.executable, "-c", example], cwd=ROOT, capture_output=True, text=True, timeout=60, check=True
+    )
     shown = text.split("It prints:\n\n```\n")[1].split("```")[0]
     assert done.stdout == shown
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -166,15 +166,25 @@
     invariants = SETTINGS["invariants"] | {"ask-within": 5_000_000}
     bounds = SETTINGS["bounds"] | {"conn-idle": 30_000_000}
     path = configuration(
-        folder, listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{discovery_port}", known=converters(upstream, 1),
+        folder,
+        listen=f"127.0.0.1:{port}",
+        discovery=f"127.0.0.1:{discovery_port}",
+        known=converters(upstream, 1),
         settings=SETTINGS | {"request-classes": [pay], "invariants": invariants, "bounds": bounds},
-        limits={"cores": 1.0, "memory_mb": 192, "sockets": LIMIT})
+        limits={"cores": 1.0, "memory_mb": 192, "sockets": LIMIT},
+    )
     log = folder / "log"
     with log.open("wb") as file:
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "ryepier.sidecar", cwd=ROOT, stderr=file, stdin=asyncio.subprocess.DEVNULL,
+            sys.executable,
+            "-m",
+            "ryepier.sidecar",
+            cwd=ROOT,
+            stderr=file,
+            stdin=asyncio.subprocess.DEVNULL,
             env=os.environ | {"BALANCER_CONFIG": str(path)},
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (LIMIT, LIMIT)))
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (LIMIT, LIMIT)),
+        )
     found = Program(process.pid, port)
     watching = asyncio.create_task(found.watch_descriptors())
     try:
@@ -203,6 +213,7 @@
 
 async def fill(sidecar: Program, kind: str, count: int) -> list[Streams]:
     """Connections of so many idle clients, of one kind."""
+
     async def one() -> Streams:
         reader, writer = await sidecar.connect()
         data = request("pay", body=b"0123456789", extra="X-Open: 1\r\n" if kind == "open" else "")
@@ -235,12 +246,14 @@
 @pytest.mark.parametrize("kind", ["fresh", "kept", "half", "open"])
 @pytest.mark.parametrize("away", ["refused", "silent"])
 def test_the_watch_and_attempts_come_up_though_idle_clients_fill_the_descriptors(
-        tmp_path: Path, kind: str, away: str) -> None:
+    tmp_path: Path, kind: str, away: str
+) -> None:
     async def test() -> None:
         full, let = asyncio.Event(), asyncio.Event()
 
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             if b"X-Open" in upstream.requests[number][0]:
                 await let.wait()
             writer.write(OK)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -25,14 +25,29 @@
 CLASSES = [
     RequestClass(name="read", share=0.4, work_ms=(2.0, 4.0), aim_ms=200.0, deadline_ms=1500.0),
     RequestClass(name="file", share=0.3, work_ms=(2.0, 4.0), aim_ms=200.0, deadline_ms=1500.0, effect="at_most_once"),
-    RequestClass(name="batch", share=0.3, work_ms=(2.0, 4.0), aim_ms=200.0, deadline_ms=1500.0,
-                 effect="deduplicated", group="cell", memory_ms=600.0)]
+    RequestClass(
+        name="batch",
+        share=0.3,
+        work_ms=(2.0, 4.0),
+        aim_ms=200.0,
+        deadline_ms=1500.0,
+        effect="deduplicated",
+        group="cell",
+        memory_ms=600.0,
+    ),
+]
 
 
 def a_world(*faults: Fault, duration_s: float = 2.0, sidecars: int = 2, **clients: object) -> World:
-    return World(name="test", duration_s=duration_s, converters=[Converters(count=6, waiting_room=1, cores=1)],
-                 classes=CLASSES, clients=msgspec.convert({"rate_per_s": 120.0} | clients, Clients),
-                 sidecars=Sidecars(count=sidecars), faults=list(faults))
+    return World(
+        name="test",
+        duration_s=duration_s,
+        converters=[Converters(count=6, waiting_room=1, cores=1)],
+        classes=CLASSES,
+        clients=msgspec.convert({"rate_per_s": 120.0} | clients, Clients),
+        sidecars=Sidecars(count=sidecars),
+        faults=list(faults),
+    )
 
 
 @asynccontextmanager
@@ -40,8 +55,9 @@
     """The first converter of a small world, on its socket."""
     plan = Plan(a_world(), 1, find_network(), "converters")
     plan = msgspec.structs.replace(
-        plan, world=msgspec.structs.replace(
-            plan.world, rig=msgspec.structs.replace(plan.world.rig, converter_processes=1)))
+        plan,
+        world=msgspec.structs.replace(plan.world, rig=msgspec.structs.replace(plan.world.rig, converter_processes=1)),
+    )
     clock = Clock()
     clock.zero_us = monotonic_us()
     host = converters.Host(plan, clock, timeline.build(plan.world, 1))
@@ -121,16 +137,18 @@
     run(test)
 
 
-@pytest.mark.parametrize(("fault", "outcome", "counted", "ran"), [
-    ("hang", "nothing", True, False),
-    ("refuse", "refused", False, False),
-    ("cut", "no connection", False, False),
-    ("reset-before", "reset", False, False),
-    ("reset-after", "reset", True, True),
-    ("half-answer", "half", True, True),
-])
-def test_each_fault_does_what_it_says_and_ends_as_it_began(fault: str, outcome: str, counted: bool,
-                                                           ran: bool) -> None:
+@pytest.mark.parametrize(
+    ("fault", "outcome", "counted", "ran"),
+    [
+        ("hang", "nothing", True, False),
+        ("refuse", "refused", False, False),
+        ("cut", "no connection", False, False),
+        ("reset-before", "reset", False, False),
+        ("reset-after", "reset", True, True),
+        ("half-answer", "half", True, True),
+    ],
+)
+def test_each_fault_does_what_it_says_and_ends_as_it_began(fault: str, outcome: str, counted: bool, ran: bool) -> None:
     async def test() -> None:
         async with one_converter() as server:
             begin(server, fault)
@@ -201,10 +219,18 @@
     assert 0.7 < (drawn.sidecar[~early] == 1).mean() < 0.8
 
 
-@pytest.mark.parametrize(("kind", "ending", "after_ms", "expected"), [
-    (0, "failed", 0, True), (0, "served", 0, False), (1, "failed", 0, False), (1, "refused", 0, True),
-    (1, "broken", 0, False), (1, "unreachable", 0, True), (2, "failed", 0, False),
-])
+@pytest.mark.parametrize(
+    ("kind", "ending", "after_ms", "expected"),
+    [
+        (0, "failed", 0, True),
+        (0, "served", 0, False),
+        (1, "failed", 0, False),
+        (1, "refused", 0, True),
+        (1, "broken", 0, False),
+        (1, "unreachable", 0, True),
+        (2, "failed", 0, False),
+    ],
+)
 def test_clients_retry_what_the_protocol_lets_them(kind: int, ending: str, after_ms: int, expected: bool) -> None:
     assert may_retry(CLASSES[kind], ending, 0, after_ms * 1000) is expected  # type: ignore[arg-type]
 
@@ -212,9 +238,13 @@
 def test_a_small_world_with_its_faults_keeps_all_rules(tmp_path: Path) -> None:
     world = a_world(
         Fault(kind="release", at_s=0.2, for_s=1.0, part=0.3, drain_s=0.8, down_s=0.1),
-        Fault(kind="sidecar-kill", at_s=1.0, down_s=0.2, index=1), Fault(kind="watch-break", at_s=0.6),
+        Fault(kind="sidecar-kill", at_s=1.0, down_s=0.2, index=1),
+        Fault(kind="watch-break", at_s=0.6),
         Fault(kind="reset-after", at_s=0.3, for_s=0.6, part=0.2, share=0.5),
-        Fault(kind="slow", at_s=1.2, for_s=0.4, factor=40.0), leaves=0.5, closes_after=0.1)
+        Fault(kind="slow", at_s=1.2, for_s=0.4, factor=40.0),
+        leaves=0.5,
+        closes_after=0.1,
+    )
     history = play(world, 3, tmp_path)
     assert judge(world, history) == []
     assert sum(life.killed for life in history.lives) == 1 and len(history.lives) == 3
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,8 +19,14 @@
     return world
 
 
-def serve(world: World, requests: int, took_us: int = 30_000, cold_us: int = 30_000, heavy_each: int = 0,
-          cost_us: int = 20_000) -> int:
+def serve(
+    world: World,
+    requests: int,
+    took_us: int = 30_000,
+    cold_us: int = 30_000,
+    heavy_each: int = 0,
+    cost_us: int = 20_000,
+) -> int:
     """How many went to upstreams 1 to 30, which are cold and answer in `cold_us`."""
     sent = 0
     for number in range(requests):
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -37,8 +37,10 @@
 GONE_S = 0.15  # an attempt may still begin for 0.1 s
 LATE_S = 0.3  # for so long a loop is held
 REST_S = 1.0  # longer than a converter that failed rests
-KINDS = [RequestClass("pay", 10_000_000, 20_000_000, late_worth=0.5, effect="at_most_once"),
-         RequestClass("read", 10_000_000, 20_000_000, late_worth=0.5)]
+KINDS = [
+    RequestClass("pay", 10_000_000, 20_000_000, late_worth=0.5, effect="at_most_once"),
+    RequestClass("read", 10_000_000, 20_000_000, late_worth=0.5),
+]
 
 
 @dataclass
@@ -72,8 +74,7 @@
         return [int(head.partition(b"X-Request-Id: ")[2].split()[0]) for head, _ in self.requests]
 
 
-async def by_hand(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                  writer: asyncio.StreamWriter) -> None:
+async def by_hand(upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     assert isinstance(upstream, Converter)
     if upstream.keeps:
         upstream.kept.append(writer)
@@ -97,8 +98,16 @@
 Leave = Callable[[socket.socket], None]
 LEAVES = [close, reset, end_sending]
 # how the client goes, and how many bytes it sends ahead of its end: the most that is dropped is 65,536
-ENDS = [(close, 0), (reset, 0), (end_sending, 0), (close, 1), (reset, 60_000), (close, 65_536), (close, 65_537),
-        (end_sending, 200_000)]
+ENDS = [
+    (close, 0),
+    (reset, 0),
+    (end_sending, 0),
+    (close, 1),
+    (reset, 60_000),
+    (close, 65_536),
+    (close, 65_537),
+    (end_sending, 200_000),
+]
 
 
 def go(sock: socket.socket, leave: Leave, behind: int) -> None:
@@ -159,7 +168,8 @@
 
 @pytest.mark.parametrize(("leave", "behind"), ENDS)
 def test_nothing_is_sent_from_the_buffer_place_for_a_client_seen_to_go(
-        leave: Leave, behind: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    leave: Leave, behind: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     calls = taken(monkeypatch)
 
     async def test() -> None:
@@ -239,8 +249,7 @@
     run(test)
 
 
-def test_what_is_written_in_part_is_not_written_on_for_a_client_that_has_gone(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+def test_what_is_written_in_part_is_not_written_on_for_a_client_that_has_gone(monkeypatch: pytest.MonkeyPatch) -> None:
     tcp_socket = system.tcp_socket
 
     def narrow(family: int) -> socket.socket:
@@ -279,7 +288,8 @@
 @pytest.mark.parametrize(("leave", "behind"), ENDS)
 @pytest.mark.parametrize("slot_first", [False, True])
 def test_nothing_is_sent_from_the_buffer_place_in_the_turn_that_brings_the_slot_and_the_end(
-        leave: Leave, behind: int, slot_first: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    leave: Leave, behind: int, slot_first: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     calls = taken(monkeypatch)
 
     async def test() -> None:
@@ -297,8 +307,7 @@
 
 @pytest.mark.parametrize("leave", LEAVES)
 @pytest.mark.parametrize("failure_first", [False, True])
-def test_nothing_is_reissued_in_the_turn_that_brings_the_failure_and_the_end(
-        leave: Leave, failure_first: bool) -> None:
+def test_nothing_is_reissued_in_the_turn_that_brings_the_failure_and_the_end(leave: Leave, failure_first: bool) -> None:
     async def test() -> None:
         both = Converter(by_hand, keeps=False), Converter(by_hand, keeps=False)
         async with sidecar(*both, classes=KINDS) as it:
@@ -322,7 +331,8 @@
 
 @pytest.mark.parametrize(("leave", "behind"), ENDS)
 def test_nothing_is_sent_by_a_dial_that_comes_up_in_the_turn_that_brings_the_end(
-        leave: Leave, behind: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    leave: Leave, behind: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def test() -> None:
         converter = Converter(by_hand)
         connect, went = asyncio.SelectorEventLoop.sock_connect, asyncio.Event()
@@ -346,7 +356,8 @@
 @pytest.mark.parametrize(("leave", "behind"), ENDS)
 @pytest.mark.parametrize("kept", [False, True])
 def test_nothing_is_sent_for_a_client_that_has_come_and_gone_before_it_is_read(
-        leave: Leave, behind: int, kept: bool) -> None:
+    leave: Leave, behind: int, kept: bool
+) -> None:
     async def test() -> None:
         converter = Converter(by_hand, keeps=False)
         async with sidecar(converter, classes=KINDS) as it:
@@ -383,8 +394,7 @@
     run(test)
 
 
-def test_a_client_that_ends_its_sending_has_gone_and_its_connection_is_closed(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_client_that_ends_its_sending_has_gone_and_its_connection_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     calls = taken(monkeypatch)
 
     async def test() -> None:
--- a/tests/test_graphql.py
+++ b/tests/test_graphql.py
@@ -19,11 +19,22 @@
 from ryepier.graphql.persisted import Persisted
 from ryepier.graphql.request import Asked, Reader, response_type
 
-CLASSES = {name: ClassRule(name, effect) for name, effect in (
-    ("lookup", "idempotent"), ("report", "idempotent"), ("batch", "deduplicated"), ("convert", "at_most_once"))}
-TABLE = Table(CLASSES, {"report": FieldRule("report", cost_us=5000, deadline_us=70)},
-              {"batch": FieldRule("batch", key="id", cost_us=9000), "convert": FieldRule("convert", cost_us=7000)},
-              "lookup", "convert")
+CLASSES = {
+    name: ClassRule(name, effect)
+    for name, effect in (
+        ("lookup", "idempotent"),
+        ("report", "idempotent"),
+        ("batch", "deduplicated"),
+        ("convert", "at_most_once"),
+    )
+}
+TABLE = Table(
+    CLASSES,
+    {"report": FieldRule("report", cost_us=5000, deadline_us=70)},
+    {"batch": FieldRule("batch", key="id", cost_us=9000), "convert": FieldRule("convert", cost_us=7000)},
+    "lookup",
+    "convert",
+)
 MUTATION = "mutation M { convert(file: 1) { id } }"
 JSON = "application/json"
 
@@ -42,18 +53,29 @@
     return caught.value
 
 
-@pytest.mark.parametrize(("query", "name"), [
-    (MUTATION, None), (f"# query\n{MUTATION}", None), (f",,\n\t{MUTATION}", None),
-    (f"query Q {{ a }} {MUTATION}", "M"), (f"{MUTATION} query Q {{ a }}", "M"),
-    ("fragment F on Mutation { convert(file: 1) { id } } mutation { ...F }", None),
-    ("mutation { ... on Mutation { query: convert(file: 1) { id } } }", None),
-    ("mutation { ... @include(if: true) { convert } }", None), ('mutation($s: String = "query") { other }', None),
-    ("mutation { batch }", None), ('mutation { a: batch(id: "1") b: batch(id: "2") }', None),
-    ('mutation { batch(id: "1") convert }', None), ("mutation { batch(id: \"has blanks\") }", None),
-    ("mutation { batch(id: [1]) }", None), ("mutation { batch(id: $absent) }", None),
-    ("mutation { batch(id: true) }", None), ("mutation @skip(if: true) { convert }", None),
-    ("mutation { convert @skip(if: true) }", None),
-])
+@pytest.mark.parametrize(
+    ("query", "name"),
+    [
+        (MUTATION, None),
+        (f"# query\n{MUTATION}", None),
+        (f",,\n\t{MUTATION}", None),
+        (f"query Q {{ a }} {MUTATION}", "M"),
+        (f"{MUTATION} query Q {{ a }}", "M"),
+        ("fragment F on Mutation { convert(file: 1) { id } } mutation { ...F }", None),
+        ("mutation { ... on Mutation { query: convert(file: 1) { id } } }", None),
+        ("mutation { ... @include(if: true) { convert } }", None),
+        ('mutation($s: String = "query") { other }', None),
+        ("mutation { batch }", None),
+        ('mutation { a: batch(id: "1") b: batch(id: "2") }', None),
+        ('mutation { batch(id: "1") convert }', None),
+        ('mutation { batch(id: "has blanks") }', None),
+        ("mutation { batch(id: [1]) }", None),
+        ("mutation { batch(id: $absent) }", None),
+        ("mutation { batch(id: true) }", None),
+        ("mutation @skip(if: true) { convert }", None),
+        ("mutation { convert @skip(if: true) }", None),
+    ],
+)
 def test_a_mutation_is_never_run_again_whatever_hides_it(query: str, name: str | None) -> None:
     meant = post(query, operationName=name).meaning
     assert (meant.class_name, meant.effect, meant.mutates) == ("convert", "at_most_once", True)
@@ -61,9 +83,9 @@
 
 def test_a_mutation_with_the_key_that_the_table_names_may_be_repeated_with_it() -> None:
     assert post('mutation { batch(id: "b-1") { id } }').meaning.key == "b-1"
-    meant = post("mutation($i: ID = \"dflt\") { batch(id: $i) }", variables={"i": 17}).meaning
+    meant = post('mutation($i: ID = "dflt") { batch(id: $i) }', variables={"i": 17}).meaning
     assert (meant.class_name, meant.effect, meant.key, meant.cost_us) == ("batch", "deduplicated", "17", 9000)
-    assert post("mutation($i: ID = \"dflt\") { batch(id: $i) }").meaning.key == "dflt"
+    assert post('mutation($i: ID = "dflt") { batch(id: $i) }').meaning.key == "dflt"
     both = 'mutation($no: Boolean!) { batch(id: "1") convert @include(if: $no) }'
     meant = post(both, variables={"no": False}).meaning
     assert (meant.effect, meant.key) == ("deduplicated", "1")
@@ -87,19 +109,40 @@
     assert refusal(raw, "[]").code == "BATCH_SIZE" and refusal(raw, "[1]").status == 400
 
 
-@pytest.mark.parametrize("body", [
-    b'{"query": "{ a }", "query": "mutation { convert }"}', b'{"query": "{ a }", "Query": "mutation { convert }"}',
-    b'{"query": "{ a }", "variables": {"x": 1, "x": 2}}', b'{"query": "{ a }", "variables": {"x": NaN}}',
-    b'\xef\xbb\xbf{"query": "{ a }"}', b'{"query": "\\ufeff{ a }"}', b'{"query": "{ a }\\ud800"}', b'{"query": 1}',
-    b'{"query": null}', b"{}", b'"x"', b"{", b"\xff", b"[" * 60_000, b'{"query": "{ a }", "variables": []}',
-    b'{"query": "{ a }", "operationName": 3}', b'{"query": "subscription { a }"}', b'{"query": "type T { a: Int }"}',
-    b'{"query": "{ a } { b }"}', b'{"query": "query A { a } query A { b }"}',
-    b'{"query": "query A { a } query B { b }"}',
-    b'{"query": "query A { a } query B { b }", "operationName": ""}', b'{"query": "{ a }", "operationName": "B"}',
-    b'{"query": "{ ...F } fragment F on Q { ...F }"}', b'{"query": "{ ...G }"}', b'{"query": "fragment F on Q { a }"}',
-    b'{"query": "{ ...F } fragment F on Q { a } fragment F on Q { b }"}', b'{"query": ""}',
-    b'{"query": "{ a", "extensions": {"persistedQuery": {"version": 1, "sha256Hash": "00"}}}',
-])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"query": "{ a }", "query": "mutation { convert }"}',
+        b'{"query": "{ a }", "Query": "mutation { convert }"}',
+        b'{"query": "{ a }", "variables": {"x": 1, "x": 2}}',
+        b'{"query": "{ a }", "variables": {"x": NaN}}',
+        b'\xef\xbb\xbf{"query": "{ a }"}',
+        b'{"query": "\\ufeff{ a }"}',
+        b'{"query": "{ a }\\ud800"}',
+        b'{"query": 1}',
+        b'{"query": null}',
+        b"{}",
+        b'"x"',
+        b"{",
+        b"\xff",
+        b"[" * 60_000,
+        b'{"query": "{ a }", "variables": []}',
+        b'{"query": "{ a }", "operationName": 3}',
+        b'{"query": "subscription { a }"}',
+        b'{"query": "type T { a: Int }"}',
+        b'{"query": "{ a } { b }"}',
+        b'{"query": "query A { a } query A { b }"}',
+        b'{"query": "query A { a } query B { b }"}',
+        b'{"query": "query A { a } query B { b }", "operationName": ""}',
+        b'{"query": "{ a }", "operationName": "B"}',
+        b'{"query": "{ ...F } fragment F on Q { ...F }"}',
+        b'{"query": "{ ...G }"}',
+        b'{"query": "fragment F on Q { a }"}',
+        b'{"query": "{ ...F } fragment F on Q { a } fragment F on Q { b }"}',
+        b'{"query": ""}',
+        b'{"query": "{ a", "extensions": {"persistedQuery": {"version": 1, "sha256Hash": "00"}}}',
+    ],
+)
 def test_what_can_be_read_in_two_ways_or_in_none_is_refused(body: bytes) -> None:
     assert refusal(raw, body).status == 400
 
@@ -116,10 +159,14 @@
 
 def test_a_get_may_ask_and_nothing_else() -> None:
     reader = Reader(TABLE)
-    asked = reader.get(urlencode({"query": "query Q($x: Int) { a(x: $x) }", "variables": '{"x": 1}',
-                                  "operationName": "Q"}))
-    assert json.loads(asked.body) == {"query": "query Q($x: Int) { a(x: $x) }", "variables": {"x": 1},
-                                      "operationName": "Q"}
+    asked = reader.get(
+        urlencode({"query": "query Q($x: Int) { a(x: $x) }", "variables": '{"x": 1}', "operationName": "Q"})
+    )
+    assert json.loads(asked.body) == {
+        "query": "query Q($x: Int) { a(x: $x) }",
+        "variables": {"x": 1},
+        "operationName": "Q",
+    }
     error = refusal(reader.get, urlencode({"query": MUTATION}))
     assert (error.status, error.allow) == (405, "POST")
     for text in ("", "query=%7Ba%7D&query=%7Bb%7D", "query=%ff", "query=%7Ba%7D&variables=1", "a"):
@@ -155,12 +202,16 @@
     assert documents.size <= 100 and len(documents.known) == 1
 
 
-@pytest.mark.parametrize(("accept", "kind"), [
-    ("", "application/graphql-response+json"), ("*/*", "application/graphql-response+json"),
-    ("application/json", "application/json"), ("application/json;q=0.5, application/graphql-response+json",
-                                               "application/graphql-response+json"),
-    ("text/html, application/json;q=0.1", "application/json"),
-])
+@pytest.mark.parametrize(
+    ("accept", "kind"),
+    [
+        ("", "application/graphql-response+json"),
+        ("*/*", "application/graphql-response+json"),
+        ("application/json", "application/json"),
+        ("application/json;q=0.5, application/graphql-response+json", "application/graphql-response+json"),
+        ("text/html, application/json;q=0.1", "application/json"),
+    ],
+)
 def test_answers_are_in_what_the_client_takes(accept: str, kind: str) -> None:
     assert response_type(accept) == kind
 
@@ -172,29 +223,48 @@
         assert refusal(Reader(TABLE).post, kind, b"{}").status == 415
 
 
-@pytest.mark.parametrize("change", [
-    {"mutation_class": "lookup"}, {"mutation_class": "batch"}, {"query_class": "nothing"}, {"query_class": "batch"},
-    {"mutations": {"m": FieldRule("lookup")}}, {"mutations": {"m": FieldRule("batch")}},
-    {"mutations": {"m": FieldRule("convert", key="id")}},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"mutation_class": "lookup"},
+        {"mutation_class": "batch"},
+        {"query_class": "nothing"},
+        {"query_class": "batch"},
+        {"mutations": {"m": FieldRule("lookup")}},
+        {"mutations": {"m": FieldRule("batch")}},
+        {"mutations": {"m": FieldRule("convert", key="id")}},
+    ],
+)
 def test_a_table_that_would_repeat_what_is_unsafe_is_refused(change: dict[str, Any]) -> None:
     with pytest.raises(ValueError, match="class|key"):
-        Table(**{"classes": CLASSES, "queries": {}, "mutations": {}, "query_class": "lookup",
-                 "mutation_class": "convert"} | change)
+        Table(
+            **{"classes": CLASSES, "queries": {}, "mutations": {}, "query_class": "lookup", "mutation_class": "convert"}
+            | change
+        )
 
 
 NAMES = st.sampled_from(["a", "report", "batch", "convert", "query", "mutation", "on1"])
-FIELDS = st.builds(lambda alias, name, inner: f"{alias}: {name}{inner}", st.sampled_from(["x", "query", "m"]), NAMES,
-                   st.sampled_from(["", " { id }", '(id: "1")', "(id: $v)", " @skip(if: $v)", "(t: \"mutation {\")"]))
-SELECTIONS = st.lists(FIELDS | st.sampled_from(["...F", "... on T { convert }", "... @include(if: $v) { a }"]),
-                      min_size=1, max_size=4).map(" ".join)
+FIELDS = st.builds(
+    lambda alias, name, inner: f"{alias}: {name}{inner}",
+    st.sampled_from(["x", "query", "m"]),
+    NAMES,
+    st.sampled_from(["", " { id }", '(id: "1")', "(id: $v)", " @skip(if: $v)", '(t: "mutation {")']),
+)
+SELECTIONS = st.lists(
+    FIELDS | st.sampled_from(["...F", "... on T { convert }", "... @include(if: $v) { a }"]), min_size=1, max_size=4
+).map(" ".join)
 FILLERS = st.sampled_from(["", " ", "# mutation\n", ",", "\n"])
 
 
-@given(st.lists(st.tuples(st.sampled_from(["query", "mutation"]), SELECTIONS, FILLERS), min_size=1, max_size=3),
-       SELECTIONS, st.integers(0, 2), st.sampled_from([None, True, False, "x"]))
+@given(
+    st.lists(st.tuples(st.sampled_from(["query", "mutation"]), SELECTIONS, FILLERS), min_size=1, max_size=3),
+    SELECTIONS,
+    st.integers(0, 2),
+    st.sampled_from([None, True, False, "x"]),
+)
 def test_no_mutation_is_ever_taken_for_harmless(
-        made: list[tuple[str, str, str]], fragment: str, chosen: int, value: Any) -> None:
+    made: list[tuple[str, str, str]], fragment: str, chosen: int, value: Any
+) -> None:
     text = "".join(f"{filler}{kind} O{i}($v: X) {{ {inner} }} " for i, (kind, inner, filler) in enumerate(made))
     text = f"fragment F on T {{ {fragment.replace('...F', 'f')} }} " + text
     name = f"O{chosen % len(made)}"
--- a/tests/test_graphql_front.py
+++ b/tests/test_graphql_front.py
@@ -18,8 +18,10 @@
 from tests.net import NOT_RUN, OK, PATIENCE_S, SETTINGS, answering, configuration, free_port, request, until
 from tests.net import Upstream as Peer
 
-CLASSES = [{"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "at_most_once", "worth": 10.0},
-           {"name": "look", "aim": 400000, "deadline": 1200000, "effect": "idempotent", "worth": 1.0}]
+CLASSES = [
+    {"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "at_most_once", "worth": 10.0},
+    {"name": "look", "aim": 400000, "deadline": 1200000, "effect": "idempotent", "worth": 1.0},
+]
 TABLE = '[graphql]\npath = "/graphql"\nqueries = "look"\nmutations = "pay"\n'
 QUERY, MUTATION = "{ status }", "mutation { convert }"
 
@@ -75,8 +77,13 @@
         return int(head[0].split()[1]), headers, json.loads(body) if "json" in kind else body
 
 
-def with_front(folder: Path, script: Any, test: Callable[[Front, Peer], Awaitable[None]], table: str = TABLE,
-               reachable: bool = True) -> None:
+def with_front(
+    folder: Path,
+    script: Any,
+    test: Callable[[Front, Peer], Awaitable[None]],
+    table: str = TABLE,
+    reachable: bool = True,
+) -> None:
     async def play() -> None:
         peer = Peer(script)
         await peer.start()
@@ -84,8 +91,14 @@
         made = parts_for(operators.parse(table, {}))
         port = config.listen[1]
         stop = asyncio.Event()
-        task = asyncio.create_task(serve(config, stop, asyncio.Event(), parts.Parts(
-            lambda config, host: Fixed(host, peer.port if reachable else 0), made.fronts)))
+        task = asyncio.create_task(
+            serve(
+                config,
+                stop,
+                asyncio.Event(),
+                parts.Parts(lambda config, host: Fixed(host, peer.port if reachable else 0), made.fronts),
+            )
+        )
         async with asyncio.timeout(PATIENCE_S):
             while True:
                 try:
@@ -158,11 +171,12 @@
 
 NOT_TAKEN = [
     (http("", "GET", "/graphql?query=mutation%7Bconvert%7D"), 405, "METHOD_NOT_ALLOWED"),
-    (http("", "DELETE"), 405, "METHOD_NOT_ALLOWED"), (http("{"), 400, "GRAPHQL_PARSE_FAILED"),
-    (http(b'{"query": "{a}", "query": "{b}"}'), 400, "BAD_REQUEST"), (http(QUERY, Accept="text/html"), 406,
-                                                                      "NOT_ACCEPTABLE"),
-    (http(QUERY, X_Deadline_Ms="soon"), 400, "BAD_REQUEST"), (http(QUERY, Content_Encoding="gzip"), 415,
-                                                              "UNSUPPORTED_MEDIA_TYPE"),
+    (http("", "DELETE"), 405, "METHOD_NOT_ALLOWED"),
+    (http("{"), 400, "GRAPHQL_PARSE_FAILED"),
+    (http(b'{"query": "{a}", "query": "{b}"}'), 400, "BAD_REQUEST"),
+    (http(QUERY, Accept="text/html"), 406, "NOT_ACCEPTABLE"),
+    (http(QUERY, X_Deadline_Ms="soon"), 400, "BAD_REQUEST"),
+    (http(QUERY, Content_Encoding="gzip"), 415, "UNSUPPORTED_MEDIA_TYPE"),
     (http("subscription { a }"), 400, "SUBSCRIPTIONS_NOT_SUPPORTED"),
     (http(b'{"extensions":{"persistedQuery":{"version":1,"sha256Hash":"x"}}}'), 200, "PERSISTED_QUERY_NOT_FOUND"),
 ]
--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -36,10 +36,20 @@
 
 def test_a_history_is_the_same_whatever_order_hashes_give() -> None:
     """With planners, slices, GraphQL and the guard in some of them."""
-    code = ("from ryepier.experiments import hunt\nfrom ryepier.emulator import simulated\n"
-            "for seed in (2, 3, 9, 343): print(hunt.trace_of(simulated.play(hunt.draw_world(seed), seed)))")
-    said = [subprocess.run([sys.executable, "-c", code], env=os.environ | {"PYTHONHASHSEED": hashes}, check=True,
-                           capture_output=True, text=True).stdout for hashes in ("1", "2")]
+    code = (
+        "from ryepier.experiments import hunt\nfrom ryepier.emulator import simulated\n"
+        "for seed in (2, 3, 9, 343): print(hunt.trace_of(simulated.play(hunt.draw_world(seed), seed)))"
+    )
+    said = [
+        subprocess.run(
+            [sys.executable, "-c", code],
+            env=os.environ | {"PYTHONHASHSEED": hashes},
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout
+        for hashes in ("1", "2")
+    ]
     assert said[0] == said[1] and len(set(said[0].split())) == 4
 
 
@@ -49,10 +59,14 @@
     assert first == second != hunt.trace_of(simulated.play(world, 6))
 
 
-@pytest.mark.parametrize(("plant", "seeds", "rule"), [
-    ("answer-twice", range(2), "second-answer"), ("keep-after-time-out", range(4, 6), "together"),
-    ("forget-drain", range(110, 112), "drain"),
-])
+@pytest.mark.parametrize(
+    ("plant", "seeds", "rule"),
+    [
+        ("answer-twice", range(2), "second-answer"),
+        ("keep-after-time-out", range(4, 6), "together"),
+        ("forget-drain", range(110, 112), "drain"),
+    ],
+)
 def test_planted_mistakes_are_found(plant: str, seeds: range, rule: str) -> None:
     finds = [played.find for played in hunt.hunt(seeds, plant, processes=2) if played.find is not None]
     assert finds and all(rule in find.rules for find in finds)
@@ -90,8 +104,11 @@
 
 def test_planners_and_operators_files_play_in_simulation_and_what_was_logged_is_kept(tmp_path: Path) -> None:
     world = load("planner-kill")
-    small = msgspec.structs.replace(world, sidecars=msgspec.structs.replace(world.sidecars, count=6, storm=True),
-                                    faults=[fault for fault in world.faults if fault.kind == "planner-kill"])
+    small = msgspec.structs.replace(
+        world,
+        sidecars=msgspec.structs.replace(world.sidecars, count=6, storm=True),
+        faults=[fault for fault in world.faults if fault.kind == "planner-kill"],
+    )
     history = simulated.play(small, 1, tmp_path)
     assert judge.judge(small, history) == []
     followed = [path.name for path in tmp_path.glob("sidecar-*.log") if "follows the plans of" in path.read_text()]
@@ -140,17 +157,53 @@
 
 
 def test_the_state_of_a_request_follows_from_what_was_seen_of_it() -> None:
-    item = Try(first=1, number=0, ident="a", key="", request_class=0, tenant=0, sidecar=0, work_us=1, planned_us=0,
-               sent_us=0, deadline_us=10**6, ended_us=900, ending="served")
+    item = Try(
+        first=1,
+        number=0,
+        ident="a",
+        key="",
+        request_class=0,
+        tenant=0,
+        sidecar=0,
+        work_us=1,
+        planned_us=0,
+        sent_us=0,
+        deadline_us=10**6,
+        ended_us=900,
+        ending="served",
+    )
     failed = Attempt("a", "", "c1", 1, first_us=100, last_us=150, ended_us=300, ending="answered", status=503)
     late = Attempt("a", "", "c3", 1, first_us=450, last_us=450, ended_us=1000, ending="closed")
-    well = Attempt("a", "", "c2", 2, first_us=500, last_us=550, ended_us=800, ending="answered", status=200,
-                   run_us=600, run_ended_us=700)
-    states = {at_us: coverage.state_at(item, [failed, late, well], at_us) for at_us in (
-        50, 120, 200, 400, 520, 560, 650, 750, 850, 950, 1100)}
-    assert states == {50: ("not sent", ""), 120: ("arriving", "c1"), 200: ("queued", "c1"), 400: ("between", ""),
-                      520: ("arriving", "c2"), 560: ("queued", "c2"), 650: ("running", "c2"), 750: ("run", "c2"),
-                      850: ("run", "c2"), 950: ("late", "c3"), 1100: ("", "")}
+    well = Attempt(
+        "a",
+        "",
+        "c2",
+        2,
+        first_us=500,
+        last_us=550,
+        ended_us=800,
+        ending="answered",
+        status=200,
+        run_us=600,
+        run_ended_us=700,
+    )
+    states = {
+        at_us: coverage.state_at(item, [failed, late, well], at_us)
+        for at_us in (50, 120, 200, 400, 520, 560, 650, 750, 850, 950, 1100)
+    }
+    assert states == {
+        50: ("not sent", ""),
+        120: ("arriving", "c1"),
+        200: ("queued", "c1"),
+        400: ("between", ""),
+        520: ("arriving", "c2"),
+        560: ("queued", "c2"),
+        650: ("running", "c2"),
+        750: ("run", "c2"),
+        850: ("run", "c2"),
+        950: ("late", "c3"),
+        1100: ("", ""),
+    }
     assert {state for state, _ in states.values() if state} == set(coverage.STATES)
 
 
@@ -160,6 +213,8 @@
         tried.cells["hang", state] = coverage.RARE
     lean = hunt.leaning(tried)
     assert lean["hang"] == 1.0 and lean["slow"] == 1.0 + hunt.LEAN and lean["surge"] == 1.0
-    often = [sum(fault.kind == "hang" for seed in range(300) for fault in hunt.draw_world(seed, weights).faults)
-             for weights in ({}, lean)]
+    often = [
+        sum(fault.kind == "hang" for seed in range(300) for fault in hunt.draw_world(seed, weights).faults)
+        for weights in ({}, lean)
+    ]
     assert often[1] < often[0] / 2
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -53,12 +53,19 @@
     (tests / "test_a.py").write_text(SOURCE)
     (tests / "test_b.py").write_text("def test_b(): pass\n")
     (folder / "pyproject.toml").write_text(
-        '[tool.pytest.ini_options]\ntestpaths = ["tests"]\naddopts = "-q -p no:cacheprovider"\n')
+        '[tool.pytest.ini_options]\ntestpaths = ["tests"]\naddopts = "-q -p no:cacheprovider"\n'
+    )
     if listing is not None:
         (folder / known_red.FILE).write_text(listing)
     environment = dict(os.environ, PYTEST_DISABLE_PLUGIN_AUTOLOAD="1", PYTHONPATH="", PYTEST_ADDOPTS="")
-    done = subprocess.run([sys.executable, "-m", "pytest", *arguments], cwd=folder, env=environment, text=True,
-                          capture_output=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", *arguments],
+        cwd=folder,
+        env=environment,
+        text=True,
+        capture_output=True,
+        timeout=60,
+    )
     return done.returncode, done.stdout + done.stderr
 
 
@@ -89,13 +96,23 @@
     assert status == 0 and "3 xfailed" in said and "1 passed" in said
 
 
-@pytest.mark.parametrize("endings", [
-    {"test_good": "passes: take its line out", "test_strict": "passes: take its line out",
-     "test_expected": "was skipped or expected to fail"},
-    {"test_skipped": "was skipped", "test_marked": "was skipped"},
-    {"test_setup": "its set-up broke", "test_teardown": "its teardown broke",
-     "test_passing_teardown": "its teardown broke"},
-], ids=["passes", "skips", "breaks"])
+@pytest.mark.parametrize(
+    "endings",
+    [
+        {
+            "test_good": "passes: take its line out",
+            "test_strict": "passes: take its line out",
+            "test_expected": "was skipped or expected to fail",
+        },
+        {"test_skipped": "was skipped", "test_marked": "was skipped"},
+        {
+            "test_setup": "its set-up broke",
+            "test_teardown": "its teardown broke",
+            "test_passing_teardown": "its teardown broke",
+        },
+    ],
+    ids=["passes", "skips", "breaks"],
+)
 def test_a_listed_test_has_to_fail_itself(tmp_path: Path, endings: dict[str, str]) -> None:
     status, said = run(tmp_path, "".join(map(line, endings)), *(A + test for test in endings))
     assert status == 1
@@ -131,17 +148,20 @@
     assert status == 1 and f"{A}test_each[x, y]: did not run to its end" in said
 
 
-@pytest.mark.parametrize("listing, why", [
-    (f"{A}test_bad\n", "is not `test, cause, issue`"),
-    (f"{A}test_bad, a cause\n", "is not `test, cause, issue`"),
-    (f"{A}test_bad, , 26\n", "names no cause"),
-    (f"{A}test_bad, a cause, later\n", "names no issue"),
-    ("test_bad, a cause, 26\n", "does not begin with a pytest node id"),
-    (line("test_bad") + "\n", "line 2 is not `test, cause, issue`"),
-    (line("test_bad") + "# a remark\n", "line 2 is not `test, cause, issue`"),
-    (2 * line("test_bad"), "again"),
-    (line("test_bad") + "".join(line(f"test_each[{a}]") for a in ("x, y", "x], y, z", "[")), "4 lines, at most 3"),
-])
+@pytest.mark.parametrize(
+    "listing, why",
+    [
+        (f"{A}test_bad\n", "is not `test, cause, issue`"),
+        (f"{A}test_bad, a cause\n", "is not `test, cause, issue`"),
+        (f"{A}test_bad, , 26\n", "names no cause"),
+        (f"{A}test_bad, a cause, later\n", "names no issue"),
+        ("test_bad, a cause, 26\n", "does not begin with a pytest node id"),
+        (line("test_bad") + "\n", "line 2 is not `test, cause, issue`"),
+        (line("test_bad") + "# a remark\n", "line 2 is not `test, cause, issue`"),
+        (2 * line("test_bad"), "again"),
+        (line("test_bad") + "".join(line(f"test_each[{a}]") for a in ("x, y", "x], y, z", "[")), "4 lines, at most 3"),
+    ],
+)
 def test_what_is_at_fault_in_a_list(listing: str, why: str) -> None:
     collected = {A + "test_bad", *(f"{A}test_each[{a}]" for a in ("x, y", "x], y, z", "["))}
     endings = dict.fromkeys(collected, known_red.Ending.FAILED)
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -120,13 +120,22 @@
 
 
 def test_a_start_that_lies_ahead_by_a_calendar_that_is_behind_counts_from_when_it_was_heard_of(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     now_s, behind_s = 1_000, 3_600
     monkeypatch.setattr(system, "monotonic_ns", lambda: now_s * 10**9)
     monkeypatch.setattr(system, "unix_ns", lambda: (10**9 + now_s - behind_s) * 10**9)
     directory = Directory(["a"], [])
-    line = {"uid": "c", "endpoint": "10.0.0.1:9000", "az": "a", "model": "", "pod_group": 1, "state": "active",
-            "capacity_hint": 1.0, "boot_ms": (10**9 + now_s - 2) * 1000}
+    line = {
+        "uid": "c",
+        "endpoint": "10.0.0.1:9000",
+        "az": "a",
+        "model": "",
+        "pod_group": 1,
+        "state": "active",
+        "capacity_hint": 1.0,
+        "boot_ms": (10**9 + now_s - 2) * 1000,
+    }
 
     def started_s(known: str = "active") -> float:
         event, _ = directory.read({"rev": 1, "all": False, "targets": [line | {"state": known}]})
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -30,7 +30,8 @@
 
 
 def test_a_json_line_holds_the_message_and_the_fields_of_its_request(
-        root: logging.Logger, capsys: pytest.CaptureFixture[str]) -> None:
+    root: logging.Logger, capsys: pytest.CaptureFixture[str]
+) -> None:
     structured.set_up(Logging(format="json"))
     logging.getLogger("ryepier.sidecar.host").info("%s", "request \u00fc refused", extra={"request": "77"})
     line = json.loads(capsys.readouterr().err)
@@ -39,7 +40,8 @@
 
 
 def test_lines_past_the_limit_or_the_level_are_never_rendered(
-        root: logging.Logger, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    root: logging.Logger, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr("ryepier.sidecar.logs.time.monotonic", lambda: 1000.5)
     structured.set_up(Logging(lines_per_s=3))
     Expensive.rendered = 0
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -13,11 +13,18 @@
 WARMTH = Warmth(cold_share=0.25, warm_up_s=4.0, overload_factor=2.0, fall_s=1.0)
 
 
-def converter(memory: PodMemory | None = None, started_us: int | None = None, cores: int = 1,
-              waiting_room: int = 2) -> Converter:
+def converter(
+    memory: PodMemory | None = None, started_us: int | None = None, cores: int = 1, waiting_room: int = 2
+) -> Converter:
     group = Converters(count=1, cores=cores, waiting_room=waiting_room)
-    return Converter(Machine(0, group, 1.0, 1), WARMTH, Reports(), memory or PodMemory(),
-                     np.random.Generator(np.random.PCG64(1)), started_us)
+    return Converter(
+        Machine(0, group, 1.0, 1),
+        WARMTH,
+        Reports(),
+        memory or PodMemory(),
+        np.random.Generator(np.random.PCG64(1)),
+        started_us,
+    )
 
 
 def run_out(one: Converter) -> list[Action]:
@@ -87,10 +94,14 @@
     assert one.next_us == 1300
 
 
-@given(st.lists(st.tuples(st.integers(0, 3000), st.sampled_from(["", "a", "b"]), st.integers(1, 4000)), max_size=30),
-       st.integers(1, 3), st.integers(0, 4))
+@given(
+    st.lists(st.tuples(st.integers(0, 3000), st.sampled_from(["", "a", "b"]), st.integers(1, 4000)), max_size=30),
+    st.integers(1, 3),
+    st.integers(0, 4),
+)
 def test_each_request_ends_once_and_a_key_runs_once_in_its_span(
-        arrivals: list[tuple[int, str, int]], cores: int, room: int) -> None:
+    arrivals: list[tuple[int, str, int]], cores: int, room: int
+) -> None:
     memory, now_us, actions = PodMemory(), 0, list[Action]()
     pod = [converter(memory, cores=cores, waiting_room=room) for _ in range(2)]
     span_us = 10**9
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -114,7 +114,8 @@
 
 
 def test_a_request_on_a_connection_that_waits_to_be_taken_when_listening_stops_is_answered(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     late: list[socket.socket] = []
     stop_listening = Server.stop_listening
 
@@ -138,7 +139,8 @@
 
 
 def test_a_connection_that_has_just_come_up_when_told_to_stop_may_send_its_first_request(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     told = asyncio.Event()
     stop_idle = Server.stop_idle
 
@@ -172,8 +174,7 @@
     run(test)
 
 
-def test_an_answer_that_its_client_has_not_read_yet_is_not_cut_short_by_a_stop(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_answer_that_its_client_has_not_read_yet_is_not_cut_short_by_a_stop(monkeypatch: pytest.MonkeyPatch) -> None:
     listen = system.listen
 
     def narrow(address: tuple[str, int], backlog: int) -> socket.socket:
@@ -210,14 +211,19 @@
 
 
 def test_a_keyed_request_is_not_written_once_its_window_is_over_however_late_its_connection(
-        monkeypatch: pytest.MonkeyPatch) -> None:
-    kinds = [RequestClass("mark", 2_000_000, 6_000_000, late_worth=0.5, effect="deduplicated", group="cell",
-                          memory_us=600_000)]
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    kinds = [
+        RequestClass(
+            "mark", 2_000_000, 6_000_000, late_worth=0.5, effect="deduplicated", group="cell", memory_us=600_000
+        )
+    ]
     held = HeldDials()
 
     async def test() -> None:
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             held.hold(other if upstream is one else one, monkeypatch)
             writer.transport.abort()  # it may have run, and goes again in its group
             raise ConnectionResetError
@@ -235,7 +241,8 @@
 
 
 def test_what_was_begun_before_a_drain_was_told_is_not_sent_however_late_its_connection(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     held, discovery = HeldDials(), Discovery()
 
     async def test() -> None:
@@ -276,8 +283,9 @@
 
 def test_a_second_answer_some_milliseconds_late_is_not_taken_for_that_of_the_next_request() -> None:
     async def test() -> None:
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             writer.write(OK)
             if number == 0:
                 await asyncio.sleep(0.005)
@@ -318,7 +326,7 @@
             second = listing(entry('\u00fc}"\\', new.port), rev=3, full=False)
             data = "\n".join(json.dumps(each, indent=1, ensure_ascii=False) for each in (first, second)).encode()
             for i in range(0, len(data), cut):
-                discovery.piece(data[i:i + cut])
+                discovery.piece(data[i : i + cut])
                 await discovery.writers[-1].drain()
                 if cut > 2:
                     await asyncio.sleep(0.01)  # so that each comes by itself
@@ -329,8 +337,18 @@
     run(test)
 
 
-@pytest.mark.parametrize("spoilt", [b'{"rev": 2, "all": true, "targets": [', b"no list\n", b"}\n", b'{"rev": "\xff"}\n',
-                                    b'{"rev": 2, "all": true, "targets": [{"uid": ["u"]}]}\n', b"[]\n", b"7\n"])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b'{"rev": 2, "all": true, "targets": [',
+        b"no list\n",
+        b"}\n",
+        b'{"rev": "\xff"}\n',
+        b'{"rev": 2, "all": true, "targets": [{"uid": ["u"]}]}\n',
+        b"[]\n",
+        b"7\n",
+    ],
+)
 def test_a_list_that_is_cut_off_or_none_leaves_the_last_sound_one_and_is_asked_for_anew(spoilt: bytes) -> None:
     async def test() -> None:
         upstream, discovery = Upstream(answering(OK)), Discovery()
@@ -431,7 +449,8 @@
 
 @pytest.mark.parametrize("behind", [0, 200_000])
 def test_a_request_that_waits_is_not_sent_once_its_client_has_left_whatever_it_sent_behind(
-        behind: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    behind: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     calls = taken(monkeypatch)
 
     async def test() -> None:
@@ -457,8 +476,7 @@
     run(test)
 
 
-def test_a_request_whose_client_left_while_its_connection_came_up_is_not_sent(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_request_whose_client_left_while_its_connection_came_up_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
     held = HeldDials()
 
     async def test() -> None:
@@ -485,8 +503,9 @@
     async def test() -> None:
         kinds = [RequestClass("read", aim_us=400_000, deadline_us=20_000_000, late_worth=0.5)]  # times out after 0.4 s
 
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             await asyncio.sleep(0.2)
             time.sleep(0.4)  # the loop hangs over the time-out: answer and timer are both due in its next turn
             writer.write(OK)
@@ -565,7 +584,8 @@
 
 @pytest.mark.parametrize("spelt", ["utf-8", "latin-1", "percent"])
 def test_names_that_are_not_plain_ascii_are_known_however_they_are_spelt(
-        spelt: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    spelt: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     calls = taken(monkeypatch)
 
     def spell(name: str) -> bytes:
@@ -577,9 +597,16 @@
         path = quote("r\u00e9servation").encode()  # a path has no other spelling
         async with sidecar(Upstream(answering(OK)), classes=kinds, tenants=tenants) as it:
             for number, tenant in enumerate((b"X-Tenant: " + spell("caf\u00e9") + b"\r\n", b"X-Tenant: who\r\n", b"")):
-                answer = await it.ask(b"GET /" + path + b"/it HTTP/1.1\r\nHost: x\r\nX-Request-Id: %d\r\n" % number
-                                      + b"X-Class: " + spell("r\u00e9servation") + b"\r\nX-Deadline-Ms: 5000\r\n"
-                                      + tenant + b"\r\n")
+                answer = await it.ask(
+                    b"GET /"
+                    + path
+                    + b"/it HTTP/1.1\r\nHost: x\r\nX-Request-Id: %d\r\n" % number
+                    + b"X-Class: "
+                    + spell("r\u00e9servation")
+                    + b"\r\nX-Deadline-Ms: 5000\r\n"
+                    + tenant
+                    + b"\r\n"
+                )
                 assert status(answer) == 200
         assert [call.class_index for call in calls] == [0, 0, 0]
         assert [call.tenant for call in calls] == [1, 2, 2]  # one that is not known, or not named, is nobody's
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -52,10 +52,18 @@
 S = 1_000_000
 
 
-def a_plan(epoch: int = 1, number: int = 1, forwarders: int = 10, planner: str = "a", covered: int = 10,
-           window_ms: int = 2000, entries: dict[str, Entry] | None = None) -> Plan:
-    return Plan(Term(epoch, planner), number, Basis(forwarders, window_ms, covered, 10, 99), entries or {}, 2000,
-                30_000)
+def a_plan(
+    epoch: int = 1,
+    number: int = 1,
+    forwarders: int = 10,
+    planner: str = "a",
+    covered: int = 10,
+    window_ms: int = 2000,
+    entries: dict[str, Entry] | None = None,
+) -> Plan:
+    return Plan(
+        Term(epoch, planner), number, Basis(forwarders, window_ms, covered, 10, 99), entries or {}, 2000, 30_000
+    )
 
 
 def resting(count: int) -> dict[str, Entry]:
@@ -70,7 +78,7 @@
     frames = Frames()
     try:
         for at in range(0, len(data), piece):
-            frames.feed(data[at:at + piece])
+            frames.feed(data[at : at + piece])
     except ProtocolError:
         pass
     good = encode(Beat(Term(3, "a"), True, 5))
@@ -137,8 +145,9 @@
 # Judging
 
 
-def saw(evidence: Evidence, now_us: int, name: str, cells: dict[str, tuple[int, int]],
-        slower: tuple[str, ...] = ()) -> None:
+def saw(
+    evidence: Evidence, now_us: int, name: str, cells: dict[str, tuple[int, int]], slower: tuple[str, ...] = ()
+) -> None:
     """A forwarder's next report: by converter, how much more was served and was bad. It takes 16 to 32 ms, or 64 to
     128 at the slower ones; ten requests of the one class have come."""
     known = evidence.forwarders.get(name)
@@ -237,8 +246,13 @@
 
 
 def test_what_planners_make_of_any_evidence_is_sound_to_forwarders() -> None:
-    @given(st.lists(st.dictionaries(st.sampled_from(sorted(LISTED)), st.tuples(st.integers(0, 9), st.integers(0, 9))),
-                    min_size=5, max_size=10))
+    @given(
+        st.lists(
+            st.dictionaries(st.sampled_from(sorted(LISTED)), st.tuples(st.integers(0, 9), st.integers(0, 9))),
+            min_size=5,
+            max_size=10,
+        )
+    )
     def check(views: list[dict[str, tuple[int, int]]]) -> None:
         planner, evidence = Planner(RULES, [0.5, 0.5]), Evidence(0)
         for index, cells in enumerate(views):
@@ -254,16 +268,19 @@
 # Following
 
 
-@pytest.mark.parametrize(("plan", "why"), [
-    (a_plan(forwarders=4), "too few forwarders"),
-    (a_plan(forwarders=0, covered=0, window_ms=0), "too few forwarders"),  # built from nothing
-    (a_plan(window_ms=999), "evidence of too short a time"),
-    (a_plan(covered=4), "too few converters seen"),
-    (a_plan(entries=resting(5)), "too many converters at rest"),
-    (a_plan(entries=dict.fromkeys(LISTED, Entry(weight=0.0))), "too little weight"),
-    (a_plan(epoch=0), "no term"),
-    (a_plan(planner=""), "no term"),
-])
+@pytest.mark.parametrize(
+    ("plan", "why"),
+    [
+        (a_plan(forwarders=4), "too few forwarders"),
+        (a_plan(forwarders=0, covered=0, window_ms=0), "too few forwarders"),  # built from nothing
+        (a_plan(window_ms=999), "evidence of too short a time"),
+        (a_plan(covered=4), "too few converters seen"),
+        (a_plan(entries=resting(5)), "too many converters at rest"),
+        (a_plan(entries=dict.fromkeys(LISTED, Entry(weight=0.0))), "too little weight"),
+        (a_plan(epoch=0), "no term"),
+        (a_plan(planner=""), "no term"),
+    ],
+)
 def test_an_unsound_plan_is_refused_and_the_last_sound_one_stays(plan: Plan, why: str) -> None:
     follower = Follower("f", RULES)
     assert follower.offer(0, a_plan(entries=resting(1)), LISTED) == ""
@@ -274,14 +291,22 @@
 
 def test_terms_only_go_up_and_numbers_within_them() -> None:
     follower = Follower("f", RULES)
-    order = [(2, "a", 5, ""), (2, "a", 5, "not newer"), (2, "a", 4, "not newer"), (1, "b", 9, "an older term"),
-             (2, "b", 1, ""), (2, "a", 99, "an older term"), (3, "a", 1, "")]
+    order = [
+        (2, "a", 5, ""),
+        (2, "a", 5, "not newer"),
+        (2, "a", 4, "not newer"),
+        (1, "b", 9, "an older term"),
+        (2, "b", 1, ""),
+        (2, "a", 99, "an older term"),
+        (3, "a", 1, ""),
+    ]
     for epoch, planner, number, expected in order:
         assert follower.offer(0, a_plan(epoch, number, planner=planner), LISTED) == expected
 
 
-@given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from("ab"), st.integers(0, 4), st.integers(0, 10)),
-                max_size=30))
+@given(
+    st.lists(st.tuples(st.integers(0, 3), st.sampled_from("ab"), st.integers(0, 4), st.integers(0, 10)), max_size=30)
+)
 def test_whatever_plans_come_those_followed_only_go_up(offers: list[tuple[int, str, int, int]]) -> None:
     follower, followed = Follower("f", RULES), []
     for epoch, planner, number, forwarders in offers:
--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -30,8 +30,9 @@
 
 
 @asynccontextmanager
-async def a_planner(port: int, name: str = "a", peers: dict[str, int] | None = None,
-                    most: int = 10) -> AsyncIterator[planner.Server]:
+async def a_planner(
+    port: int, name: str = "a", peers: dict[str, int] | None = None, most: int = 10
+) -> AsyncIterator[planner.Server]:
     others = {peer: ("127.0.0.1", at) for peer, at in (peers or {}).items()}
     server = planner.Server(planner.Settings(name, ("127.0.0.1", port), others, RULES, [], [], most), machine(name))
     stop = asyncio.Event()
@@ -50,7 +51,9 @@
         self.plans: list[PlanUpdated] = []
         self.forwarder = forwarder.Forwarder(
             forwarder.Settings(name, [("127.0.0.1", port) for port in ports], RULES, report_s=0.1),
-            forwarder.Sidecar(lambda: IDENTS, self.plans.append, [50_000], 1), machine(name))
+            forwarder.Sidecar(lambda: IDENTS, self.plans.append, [50_000], 1),
+            machine(name),
+        )
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -91,7 +94,8 @@
 async def command(*arguments: str) -> str:
     """What `ryepier` prints, run as a person would."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "ryepier", *arguments, stdout=asyncio.subprocess.PIPE)
+        sys.executable, "-m", "ryepier", *arguments, stdout=asyncio.subprocess.PIPE
+    )
     said, _ = await process.communicate()
     assert process.returncode == 0
     return said.decode()
@@ -147,10 +151,17 @@
     return said
 
 
-@pytest.mark.parametrize("data", [
-    b"GET / HTTP/1.1\r\n\r\n", (LONGEST + 1).to_bytes(4, "big"), encode(Hello(VERSION + 1, "f", 1)),
-    encode(Report(1, 1, {}, {}, [], [], 0)), encode(Hello(VERSION, "f", 1)) * 2, b"\x00\x00\x00\x01\xc1",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        (LONGEST + 1).to_bytes(4, "big"),
+        encode(Hello(VERSION + 1, "f", 1)),
+        encode(Report(1, 1, {}, {}, [], [], 0)),
+        encode(Hello(VERSION, "f", 1)) * 2,
+        b"\x00\x00\x00\x01\xc1",
+    ],
+)
 def test_peers_that_make_no_sense_get_a_refusal_and_the_planner_goes_on(data: bytes) -> None:
     async def test() -> None:
         port = free_port()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,8 +30,9 @@
 def program(path: Path) -> Iterator[subprocess.Popen[bytes]]:
     subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=ROOT, check=True, timeout=600)
     plain = {k: v for k, v in os.environ.items() if not k.startswith(("PYTHON", "VIRTUAL_ENV"))}
-    process = subprocess.Popen(["/bin/sh", "-c", DEPLOY["run"]], cwd=ROOT, stderr=subprocess.PIPE,
-                               env=plain | {"BALANCER_CONFIG": str(path)})
+    process = subprocess.Popen(
+        ["/bin/sh", "-c", DEPLOY["run"]], cwd=ROOT, stderr=subprocess.PIPE, env=plain | {"BALANCER_CONFIG": str(path)}
+    )
     try:
         yield process
     finally:
@@ -41,8 +42,11 @@
 
 def test_the_build_compiles_the_sources(tmp_path: Path) -> None:
     with program(configuration(tmp_path)):  # which builds first
-        for source in (ROOT / "ryepier" / "__init__.py", *(ROOT / "ryepier" / "sidecar").glob("*.py"),
-                       *(ROOT / "ryepier" / "balancer").glob("*.py")):
+        for source in (
+            ROOT / "ryepier" / "__init__.py",
+            *(ROOT / "ryepier" / "sidecar").glob("*.py"),
+            *(ROOT / "ryepier" / "balancer").glob("*.py"),
+        ):
             assert Path(cache_from_source(source)).exists()
 
 
@@ -64,6 +68,7 @@
     path = configuration(tmp_path)
     port = int(json.loads(path.read_text())["listen"].split(":")[1])
     with program(path) as process:
+
         def up() -> bytes:
             ends = time.monotonic() + PATIENCE_S
             while time.monotonic() < ends:
@@ -86,8 +91,7 @@
 
 
 def test_sigterm_under_load_leaves_nothing_that_ran_without_its_answer(tmp_path: Path) -> None:
-    async def slow(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                   writer: asyncio.StreamWriter) -> None:
+    async def slow(upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(0.05)
         writer.write(OK)
 
@@ -133,32 +137,37 @@
                 assert await asyncio.to_thread(process.wait, PATIENCE_S) == 0
         for upstream in upstreams:
             upstream.stop()
-        ran = {head.split(b"X-Request-Id: ")[1].split(b"\r\n")[0].decode()
-               for upstream in upstreams for head, _ in upstream.requests}
+        ran = {
+            head.split(b"X-Request-Id: ")[1].split(b"\r\n")[0].decode()
+            for upstream in upstreams
+            for head, _ in upstream.requests
+        }
         assert ran and ran <= answered
 
     asyncio.run(test())
 
 
 @pytest.mark.parametrize("changes", [{"listen": "nowhere"}, {"settings": {}}, {"limits": {}}])
-def test_a_configuration_that_can_not_be_read_ends_it_with_one_line(tmp_path: Path,
-                                                                    changes: dict[str, Any]) -> None:
+def test_a_configuration_that_can_not_be_read_ends_it_with_one_line(tmp_path: Path, changes: dict[str, Any]) -> None:
     with program(configuration(tmp_path, **changes)) as process:
         _, errors = process.communicate(timeout=PATIENCE_S)
         assert process.returncode == 2 and len(errors.splitlines()) == 1
 
 
-@pytest.mark.parametrize(("changes", "key"), [
-    ({"listen": 5}, "listen"),
-    ({"discovery": None}, "discovery"),
-    ({"seed": 7}, "seed"),
-    ({"limits": {"sockets": "many"}}, "limits.sockets"),
-    ({"limits": [1]}, "limits.sockets"),
-    ({"settings": SETTINGS | {"areas": 3}}, "settings.areas"),
-    ({"settings": SETTINGS | {"bounds": SETTINGS["bounds"] | {"conn-idle": float("inf")}}}, "bounds.conn-idle"),
-    ({"settings": SETTINGS | {"request-classes": []}}, "request class"),
-    ({"settings": SETTINGS | {"instances": "x"}}, "instances"),
-])
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"listen": 5}, "listen"),
+        ({"discovery": None}, "discovery"),
+        ({"seed": 7}, "seed"),
+        ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"limits": [1]}, "limits.sockets"),
+        ({"settings": SETTINGS | {"areas": 3}}, "settings.areas"),
+        ({"settings": SETTINGS | {"bounds": SETTINGS["bounds"] | {"conn-idle": float("inf")}}}, "bounds.conn-idle"),
+        ({"settings": SETTINGS | {"request-classes": []}}, "request class"),
+        ({"settings": SETTINGS | {"instances": "x"}}, "instances"),
+    ],
+)
 def test_a_wrong_setting_is_told_by_its_key(tmp_path: Path, changes: dict[str, Any], key: str) -> None:
     with pytest.raises((ValueError, WireError), match=key):
         load(str(configuration(tmp_path, **changes)))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -37,18 +37,27 @@
     st.tuples(st.just("stream"), st.integers(0, 50), st.just(0)),
 )
 
-CONFIGS = st.fixed_dictionaries({
-    "second_copies": st.booleans(), "list_on_request": st.booleans(), "cancel": st.booleans(),
-    "max_attempts": st.integers(1, 5), "instances": st.integers(1, 8), "retry_after": st.booleans(),
-    "ask_within_us": st.sampled_from([0, 10_000_000]), "probes": st.booleans(),
-    "report_names": st.sampled_from([[], ["utilization"], ["in_flight", "queued", "latency_ms"]]),
-})
+CONFIGS = st.fixed_dictionaries(
+    {
+        "second_copies": st.booleans(),
+        "list_on_request": st.booleans(),
+        "cancel": st.booleans(),
+        "max_attempts": st.integers(1, 5),
+        "instances": st.integers(1, 8),
+        "retry_after": st.booleans(),
+        "ask_within_us": st.sampled_from([0, 10_000_000]),
+        "probes": st.booleans(),
+        "report_names": st.sampled_from([[], ["utilization"], ["in_flight", "queued", "latency_ms"]]),
+    }
+)
 
 
 def many_classes() -> list[RequestClass]:
-    return [*classes(),
-            RequestClass("zoned", 200_000, 900_000, effect="deduplicated", group="zone", memory_us=400_000),
-            RequestClass("feed", 200_000, 900_000, effect="deduplicated", memory_us=9_000_000, stream=True)]
+    return [
+        *classes(),
+        RequestClass("zoned", 200_000, 900_000, effect="deduplicated", group="zone", memory_us=400_000),
+        RequestClass("feed", 200_000, 900_000, effect="deduplicated", memory_us=9_000_000, stream=True),
+    ]
 
 
 def play(world: World, step: tuple[str, int, object]) -> None:
@@ -77,17 +86,22 @@
         assert isinstance(extra, Outcome)
         world.end(*open_tries[number % len(open_tries)], extra)
     elif what == "stream":
-        streams = [(i, n) for i, n in open_tries
-                   if world.settings.classes[world.owed[i].event.class_index].stream
-                   and not world.owed[i].stream and not world.owed[i].closed]
+        streams = [
+            (i, n)
+            for i, n in open_tries
+            if world.settings.classes[world.owed[i].event.class_index].stream
+            and not world.owed[i].stream
+            and not world.owed[i].closed
+        ]
         if streams:
             world.begin_stream(*streams[number % len(streams)])
 
 
 @hypothesis_settings(derandomize=True, deadline=None, max_examples=400)
 @given(CONFIGS, st.integers(0, 2**64 - 1), st.lists(STEPS, max_size=80))
-def test_no_rule_is_broken_whatever_happens(config: dict[str, object], seed: int,
-                                            steps: list[tuple[str, int, object]]) -> None:
+def test_no_rule_is_broken_whatever_happens(
+    config: dict[str, object], seed: int, steps: list[tuple[str, int, object]]
+) -> None:
     world = World(settings(classes=many_classes(), **config), seed)
     world.tell_list(upstreams(6), ListKind.CACHED)
     for step in steps:
@@ -101,8 +115,9 @@
     world = World(settings(classes=many_classes(), **config), seed)
     world.tell_list(upstreams(6), ListKind.CACHED)
     for _ in range(1500):
-        kind = dice.choices(["arrive", "end", "advance", "list", "restart", "quit", "stream", "fail"],
-                            [50, 40, 10, 1, 1, 1, 1, 1])[0]
+        kind = dice.choices(
+            ["arrive", "end", "advance", "list", "restart", "quit", "stream", "fail"], [50, 40, 10, 1, 1, 1, 1, 1]
+        )[0]
         extra: object = 0
         number = dice.randrange(50)
         if kind == "arrive":
@@ -122,8 +137,11 @@
 def test_busy_days_break_no_rule_and_are_decided_alike_each_time() -> None:
     for seed in range(12):
         config: dict[str, object] = {
-            "second_copies": seed % 2 == 0, "list_on_request": seed % 3 == 0, "ask_within_us": 10_000_000,
-            "report_names": [["utilization"], [], ["queued", "in_flight"]][seed % 3], "probes": seed % 4 == 0,
+            "second_copies": seed % 2 == 0,
+            "list_on_request": seed % 3 == 0,
+            "ask_within_us": 10_000_000,
+            "report_names": [["utilization"], [], ["queued", "in_flight"]][seed % 3],
+            "probes": seed % 4 == 0,
         }
         assert busy_day(config, seed) == busy_day(config, seed)
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -132,11 +132,21 @@
 
 
 def rows(power: float, bytes_power: float = 0.0) -> dict[int, dict[str, float]]:
-    return {size: {"planner_cores_needed": 0.001 * size**power, "planner_cpu_ms_a_tick": 0.1 * size,
-                   "planner_cpu_us_a_report": 200.0, "planner_resident_bytes": 3e7 + 4e4 * size,
-                   "planner_wait_share": 0.1, "connected_share": 1.0, "reporters_share": 1.0,
-                   "bytes_out_per_s": 2000.0 * (size / SIZES[0]) ** bytes_power, "bytes_per_s_with_seven": 15_000.0,
-                   "forwarder_cores": 0.002} for size in SIZES}
+    return {
+        size: {
+            "planner_cores_needed": 0.001 * size**power,
+            "planner_cpu_ms_a_tick": 0.1 * size,
+            "planner_cpu_us_a_report": 200.0,
+            "planner_resident_bytes": 3e7 + 4e4 * size,
+            "planner_wait_share": 0.1,
+            "connected_share": 1.0,
+            "reporters_share": 1.0,
+            "bytes_out_per_s": 2000.0 * (size / SIZES[0]) ** bytes_power,
+            "bytes_per_s_with_seven": 15_000.0,
+            "forwarder_cores": 0.002,
+        }
+        for size in SIZES
+    }
 
 
 WHOLE = {"forwarder_resident_bytes": 5e4, "avoided_after_s": 1.5}
@@ -236,8 +246,7 @@
     assert len(failing(scale_call.claims_of(calls(5.0)))) == 2
 
 
-def test_the_module_alone_opens_to_its_rate_and_costs_more_with_a_longer_list(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_module_alone_opens_to_its_rate_and_costs_more_with_a_longer_list(monkeypatch: pytest.MonkeyPatch) -> None:
     made: list[Balancer] = []
     served: Counter[int] = Counter()
 
@@ -267,8 +276,9 @@
     assert read.known == listing(400, ("127.1.2.5", 9000))
 
 
-def test_stand_in_converters_answer_each_call_and_tell_their_list(capsys: pytest.CaptureFixture[str],
-                                                                  monkeypatch: pytest.MonkeyPatch) -> None:
+def test_stand_in_converters_answer_each_call_and_tell_their_list(
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
     network = find_network()
     converters, agent = (f"127.{network}.0.1", 9000), (f"127.{network}.252.1", 8500)
 
@@ -302,10 +312,15 @@
 
 def test_a_profile_tells_our_own_functions_by_their_time(tmp_path: Path) -> None:
     kept: dict[tuple[str, int, str], tuple[int, int, float, float, dict[str, int]]] = {
-        (f"/x/{file}", line, function): (1, 1, own_s, 9.0, {}) for file, line, function, own_s in (
-        ("ryepier/balancer/balancer.py", 1, "draw", 0.2), ("ryepier/balancer/balancer.py", 7, "<listcomp>", 0.4),
-        ("ryepier/sidecar/host.py", 1, "start", 0.1), ("ryepier/sidecar/host.py", 9, "start", 0.2),
-        ("python/asyncio/events.py", 1, "run", 5.0))}
+        (f"/x/{file}", line, function): (1, 1, own_s, 9.0, {})
+        for file, line, function, own_s in (
+            ("ryepier/balancer/balancer.py", 1, "draw", 0.2),
+            ("ryepier/balancer/balancer.py", 7, "<listcomp>", 0.4),
+            ("ryepier/sidecar/host.py", 1, "start", 0.1),
+            ("ryepier/sidecar/host.py", 9, "start", 0.2),
+            ("python/asyncio/events.py", 1, "run", 5.0),
+        )
+    }
     (tmp_path / "profile").write_bytes(marshal.dumps(kept))
     found = scale_call.top_functions(tmp_path / "profile", 1000)
     assert [name for name, _ in found] == ["balancer.listcomp_line_7", "host.start", "balancer.draw"]
@@ -365,6 +380,7 @@
 
 
 def test_the_factor_of_a_hop_is_the_logarithms_slope() -> None:
-    found = scale_depth.summary({name: {"attempts_a_call": 1.1 ** one.depth}
-                                 for name, one in scale_depth.runs(1, "small").items()})
+    found = scale_depth.summary(
+        {name: {"attempts_a_call": 1.1**one.depth} for name, one in scale_depth.runs(1, "small").items()}
+    )
     assert found["factor_a_hop_0.5_failing"] == pytest.approx(1.1)
--- a/tests/test_scale_fail.py
+++ b/tests/test_scale_fail.py
@@ -16,11 +16,16 @@
     """A change costs a sidecar 100 us told singly and 20 us together; a message costs discovery 10 us."""
     found: dict[str, float] = {}
     for changes in BURSTS:
-        found |= {f"burst_cpu_ms_{changes}": 0.1 * changes, f"together_cpu_ms_{changes}": 0.02 * changes,
-                  f"burst_bytes_{changes}": 200.0 * changes}
+        found |= {
+            f"burst_cpu_ms_{changes}": 0.1 * changes,
+            f"together_cpu_ms_{changes}": 0.02 * changes,
+            f"burst_bytes_{changes}": 200.0 * changes,
+        }
     for count in FLEETS["small"]:
-        found |= {f"zone_stand_in_cpu_s_{count}": 1e-5 * ZONE * count + 0.5,  # what does not grow is not the fleet's
-                  f"zone_together_stand_in_cpu_s_{count}": 1e-5 * count}
+        found |= {
+            f"zone_stand_in_cpu_s_{count}": 1e-5 * ZONE * count + 0.5,  # what does not grow is not the fleet's
+            f"zone_together_stand_in_cpu_s_{count}": 1e-5 * count,
+        }
     return found
 
 
--- a/tests/test_scale_list.py
+++ b/tests/test_scale_list.py
@@ -19,6 +19,7 @@
 
 def followed(script: Callable[[Desk, Sidecars], Awaitable[None]], keeps_revisions: bool = True) -> None:
     """Play a script with hollow sidecars of this very process that have the list."""
+
     async def play() -> None:
         address = (f"127.{find_network()}.254.2", scale_list.PORT)
         desk = Desk(Listing(KNOWN, 1), address, keeps_revisions)
@@ -96,9 +97,11 @@
 def test_a_lists_parts_are_all_timed() -> None:
     found = list_parts.measure(KNOWN, 1)
     assert {name for name in found if "_list_" in name} == {
-        f"alone_list_{part}_ms" for part in ("parse_one_piece", "parse", "directory", "module")}
+        f"alone_list_{part}_ms" for part in ("parse_one_piece", "parse", "directory", "module")
+    }
     assert {name for name in found if "_change_" in name} == {
-        f"alone_change_{part}_us" for part in ("parse", "directory", "module")}
+        f"alone_change_{part}_us" for part in ("parse", "directory", "module")
+    }
     assert all(spent > 0 for spent in found.values())
 
 
