--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -44,8 +44,9 @@
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() -> None:
     async def test() -> None:
-        upstream = Upstream(answering(b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 6\r\n\r\n"
-                                      b"\x00\xff\r\n\r\n"))
+        upstream = Upstream(
+            answering(b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 6\r\n\r\n\x00\xff\r\n\r\n")
+        )
         async with sidecar(upstream) as it:
             head, body = await it.ask(request("mark", "77", b"\x00body\r\n"))
         assert status((head, body)) == 200 and body == b"\x00\xff\r\n\r\n" and b"Content-Type: a/b" in head
@@ -58,23 +59,26 @@
     run(test)
 
 
-@pytest.mark.parametrize(("first", "expected", "attempts"), [
-    (NOT_RUN, 200, 2),  # never ran: an unsafe request may go again
-    (ERROR, 500, 1),
-    (BARE_503, 500, 1),  # it may have run; passing it on would be a refusal
-    (b"HTTP/1.1 504 Late\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", 200, 2),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", 500, 1),
-    (b"", 500, 1),
-    (b"noise\r\n\r\n", 500, 1),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"x" * 70_000, 500, 1),
-    (b"HTTP/1.1 200 OK\r\nX-Endless: " + b"x" * 1_100_000, 500, 1),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, 200, 1),
-])
-def test_an_unsafe_request_is_repeated_only_if_it_never_ran(first: bytes, expected: int,
-                                                            attempts: int) -> None:
+@pytest.mark.parametrize(
+    ("first", "expected", "attempts"),
+    [
+        (NOT_RUN, 200, 2),  # never ran: an unsafe request may go again
+        (ERROR, 500, 1),
+        (BARE_503, 500, 1),  # it may have run; passing it on would be a refusal
+        (b"HTTP/1.1 504 Late\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", 200, 2),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", 500, 1),
+        (b"", 500, 1),
+        (b"noise\r\n\r\n", 500, 1),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"x" * 70_000, 500, 1),
+        (b"HTTP/1.1 200 OK\r\nX-Endless: " + b"x" * 1_100_000, 500, 1),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, 200, 1),
+    ],
+)
+def test_an_unsafe_request_is_repeated_only_if_it_never_ran(first: bytes, expected: int, attempts: int) -> None:
     async def test() -> None:
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             if total() > 1:
                 writer.write(OK)
                 return
@@ -121,8 +125,7 @@
     run(test)
 
 
-def test_a_module_that_stumbles_or_forgets_leaves_nobody_without_an_answer(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_module_that_stumbles_or_forgets_leaves_nobody_without_an_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     handle = Balancer.handle
 
     def stumbling(self: Balancer, now_us: int, event: Event) -> list[Any]:
@@ -147,8 +150,9 @@
     async def test() -> None:
         held = asyncio.Event()
 
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             if number == 0:
                 await held.wait()
                 writer.write(NOT_RUN)
@@ -174,7 +178,8 @@
 
 
 def test_a_connection_is_used_again_but_not_after_more_than_an_answer_or_its_end(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(pool_of, "SETTLE_US", 0)  # requests come one right after the other
 
     async def test() -> None:
@@ -194,8 +199,9 @@
     async def test() -> None:
         held, discovery = asyncio.Event(), Discovery()
 
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             if number == 1:
                 await held.wait()
             writer.write(OK)
@@ -208,8 +214,9 @@
             writer.write(request())
             await until(lambda: len(upstream.requests) == 2)
             # another comes to the address of the one that leaves, and then the old one has gone
-            discovery.line(listing(entry("u0", upstream.port, "leaving"), entry("new", upstream.port), rev=2,
-                                   full=False))
+            discovery.line(
+                listing(entry("u0", upstream.port, "leaving"), entry("new", upstream.port), rev=2, full=False)
+            )
             async with asyncio.timeout(PATIENCE_S):
                 while len(upstream.requests) < 3:
                     await it.ask(request())
@@ -271,8 +278,9 @@
         pool.sweeper.cancel()
 
     async def over_sockets() -> None:
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             writer.write(OK)
             await read_message(reader)  # whatever comes next on it breaks it
             writer.transport.abort()
@@ -296,15 +304,18 @@
     run(over_sockets)
 
 
-@pytest.mark.parametrize("first", [
-    b"\x01noise\r\n\r\n",
-    b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
-    b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * 40_000,
-    b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" * 9000,
-])
+@pytest.mark.parametrize(
+    "first",
+    [
+        b"\x01noise\r\n\r\n",
+        b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * 40_000,
+        b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" * 9000,
+    ],
+)
 def test_a_spoilt_answer_may_have_run_and_shuts_nothing(first: bytes) -> None:
     async def test() -> None:
         outcomes = list[Outcome]()
@@ -330,8 +341,9 @@
     async def test() -> None:
         ended = asyncio.Event()
 
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             writer.write(OK)
             if not await reader.read(1):
                 ended.set()
@@ -378,40 +390,42 @@
 # Bad input
 
 
-@pytest.mark.parametrize(("data", "expected"), [
-    (b"noise\r\n\r\n", 400),
-    (request("read").replace(b"read", b"gone"), 404),
-    (request("read").replace(b"X-Class: read", b"X-Class: pay"), 404),
-    (request("read").replace(b"X-Class: read\r\n", b""), 404),
-    (request("read").replace(b"/read/it", b"read/it"), 400),
-    (request("read", extra="X-Class: read\r\n"), 400),
-    (request("read", extra="X-Request-Id: 2\r\n"), 400),
-    (request("read", extra="X-Deadline-Ms: 15000\r\n"), 400),
-    (request("read", ident="a b"), 400),
-    (request("read", extra="X-Note: \xe4\r\n"), 400),
-    (request("read", extra="Content-Length: 2\r\n") + b"ab", 400),
-    (request("read").replace(b"HTTP/1.1", b"HTTP/2.0"), 400),
-    (b"GET /read\r\n\r\n", 400),
-    (request("read", extra="Connection: upgrade\r\nUpgrade: h2c\r\n"), 400),
-    (b"CONNECT read:1 HTTP/1.1\r\nHost: x\r\n\r\n", 400),
-    (request("pay", extra="Idempotency-Key: k\r\n"), 400),
-    (request("read", deadline_ms=10 ** 12), 400),
-    (request("pay", extra="Content-Length: 0\r\n"), 400),
-    (request("pay").replace(b"Content-Length: 0", b"Content-Length: +4") + b"abcd", 400),
-    (request("pay", body=b"abcd").replace(b"Length: 4", b"Length: 2"), 400),  # what follows is no request
-    (request("pay").replace(b"Content-Length: 0", b"Content-Length: 60000000"), 413),  # at once, at its head
-    (request("read", ident=""), 400),
-    (request("read", deadline_ms="soon"), 400),
-    (request("read", deadline_ms=-5), 400),
-    (request("mark").replace(b"Idempotency-Key", b"Other"), 400),
-    (request("pay").replace(b"POST", b"GET"), 400),
-    (request("pay").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"0\r\n\r\n", 400),
-    (request("pay").replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
-    (request("pay", body=b"x" * 70_000), 413),
-    (b"GET /read HTTP/1.1\r\nX-Endless: " + b"x" * 20_000, 413),
-])
-def test_input_that_is_not_taken_gets_an_error_and_the_end_of_its_connection(data: bytes,
-                                                                             expected: int) -> None:
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"noise\r\n\r\n", 400),
+        (request("read").replace(b"read", b"gone"), 404),
+        (request("read").replace(b"X-Class: read", b"X-Class: pay"), 404),
+        (request("read").replace(b"X-Class: read\r\n", b""), 404),
+        (request("read").replace(b"/read/it", b"read/it"), 400),
+        (request("read", extra="X-Class: read\r\n"), 400),
+        (request("read", extra="X-Request-Id: 2\r\n"), 400),
+        (request("read", extra="X-Deadline-Ms: 15000\r\n"), 400),
+        (request("read", ident="a b"), 400),
+        (request("read", extra="X-Note: \xe4\r\n"), 400),
+        (request("read", extra="Content-Length: 2\r\n") + b"ab", 400),
+        (request("read").replace(b"HTTP/1.1", b"HTTP/2.0"), 400),
+        (b"GET /read\r\n\r\n", 400),
+        (request("read", extra="Connection: upgrade\r\nUpgrade: h2c\r\n"), 400),
+        (b"CONNECT read:1 HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (request("pay", extra="Idempotency-Key: k\r\n"), 400),
+        (request("read", deadline_ms=10**12), 400),
+        (request("pay", extra="Content-Length: 0\r\n"), 400),
+        (request("pay").replace(b"Content-Length: 0", b"Content-Length: +4") + b"abcd", 400),
+        (request("pay", body=b"abcd").replace(b"Length: 4", b"Length: 2"), 400),  # what follows is no request
+        (request("pay").replace(b"Content-Length: 0", b"Content-Length: 60000000"), 413),  # at once, at its head
+        (request("read", ident=""), 400),
+        (request("read", deadline_ms="soon"), 400),
+        (request("read", deadline_ms=-5), 400),
+        (request("mark").replace(b"Idempotency-Key", b"Other"), 400),
+        (request("pay").replace(b"POST", b"GET"), 400),
+        (request("pay").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"0\r\n\r\n", 400),
+        (request("pay").replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
+        (request("pay", body=b"x" * 70_000), 413),
+        (b"GET /read HTTP/1.1\r\nX-Endless: " + b"x" * 20_000, 413),
+    ],
+)
+def test_input_that_is_not_taken_gets_an_error_and_the_end_of_its_connection(data: bytes, expected: int) -> None:
     async def test() -> None:
         upstream = Upstream(answering(OK))
         async with sidecar(upstream) as it:
@@ -444,8 +458,9 @@
     async def test() -> None:
         held = asyncio.Event()
 
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             await held.wait()
             writer.write(OK)
 
@@ -477,7 +492,8 @@
 
 @pytest.mark.parametrize("part", [b"", b"POST /pay HT", request("pay", body=b"abc")[:-1]])
 def test_a_client_that_says_nothing_or_half_of_it_is_ended_in_time(
-        part: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    part: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setitem(server.LONGEST_S, server.State.FRESH, 0.2)
 
     async def test() -> None:
@@ -705,8 +721,9 @@
     async def test() -> None:
         held = asyncio.Event()
 
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             await held.wait()
             writer.write(OK)
 
@@ -747,12 +764,14 @@
 
 
 def test_a_new_configuration_moves_the_watch_and_keeps_what_is_open(
-        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     async def test() -> None:
         held = asyncio.Event()
 
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             await held.wait()
             writer.write(OK)
 
@@ -792,14 +811,17 @@
 # Upstreams that leave some requests without an answer
 
 
-QUICK = [RequestClass(name, aim_us=200_000, deadline_us=600_000_000, late_worth=0.5, effect="at_most_once")
-         for name in ("pay", "order")]
+QUICK = [
+    RequestClass(name, aim_us=200_000, deadline_us=600_000_000, late_worth=0.5, effect="at_most_once")
+    for name in ("pay", "order")
+]
 
 
 def test_requests_that_are_never_answered_don_t_keep_the_slots_of_an_upstream_that_answers_others() -> None:
     async def test() -> None:
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             if upstream.requests[number][1] == b"lost":
                 await silent(upstream, number, reader, writer)
             await asyncio.sleep(0.02)  # so that requests meet, and slots are opened
@@ -811,8 +833,10 @@
             return sum(1 for _, body in upstream.requests if body == b"lost")
 
         async with sidecar(upstream, classes=QUICK) as it, asyncio.timeout(PATIENCE_S):
-            while {status(answer) for answer in await asyncio.gather(
-                    *(it.ask(request("pay", body=b"b")) for _ in range(6)))} != {200}:
+            while {
+                status(answer)
+                for answer in await asyncio.gather(*(it.ask(request("pay", body=b"b")) for _ in range(6)))
+            } != {200}:
                 pass
             held = []
             while (before := lost()) <= MOST_SLOTS:  # until there is one more than there are slots
@@ -835,8 +859,9 @@
 
 def test_a_request_that_is_never_answered_does_not_keep_the_only_slot_of_an_upstream() -> None:
     async def test() -> None:
-        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
-                         writer: asyncio.StreamWriter) -> None:
+        async def script(
+            upstream: Upstream, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             if number == 0:
                 await silent(upstream, number, reader, writer)
             writer.write(OK)
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -74,8 +74,8 @@
     async def main(loop: SimLoop) -> list[str]:
         seen = []
         for unread in (False, True):
-            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                            unread: bool = unread) -> None:
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, unread: bool = unread) -> None:
                 if not unread:
                     await reader.readexactly(2 * WINDOW)
                 reading(writer).pause_reading()
@@ -187,8 +187,14 @@
 
 def trace(seeds: str, hash_seed: str) -> list[str]:
     """A line a seed: the hash of all that was said on the wire, and when; and how many were served."""
-    done = subprocess.run([*TRACE, *seeds.split()], cwd=ROOT, capture_output=True, text=True, timeout=120,
-                          env=os.environ | {"PYTHONHASHSEED": hash_seed})
+    done = subprocess.run(
+        [*TRACE, *seeds.split()],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+        env=os.environ | {"PYTHONHASHSEED": hash_seed},
+    )
     assert done.returncode == 0, done.stderr[-2000:]
     return done.stdout.splitlines()
 
--- a/tests/test_slice_client.py
+++ b/tests/test_slice_client.py
@@ -48,9 +48,18 @@
 
 def content(*pods: str, draining: str = "", family: str = "IPv4") -> dict[str, Any]:
     prefix = "10.0.0." if family == "IPv4" else "fd00::"
-    return {"addressType": family, "ports": PORTS, "endpoints": [
-        {"addresses": [f"{prefix}{pod[1:]}"], "targetRef": {"kind": "Pod", "uid": pod},
-         "conditions": {"ready": pod not in draining, "terminating": pod in draining}} for pod in pods]}
+    return {
+        "addressType": family,
+        "ports": PORTS,
+        "endpoints": [
+            {
+                "addresses": [f"{prefix}{pod[1:]}"],
+                "targetRef": {"kind": "Pod", "uid": pod},
+                "conditions": {"ready": pod not in draining, "terminating": pod in draining},
+            }
+            for pod in pods
+        ],
+    }
 
 
 class World:
@@ -68,8 +77,13 @@
         self.api.changed()
 
     def follow(self, access: Access | None = None, **more: Any) -> SliceSource:
-        settings = Settings(access or Access("127.0.0.1", self.port, False), "default", "convert",
-                            Rules([], 0, settle_us=50_000), **more)
+        settings = Settings(
+            access or Access("127.0.0.1", self.port, False),
+            "default",
+            "convert",
+            Rules([], 0, settle_us=50_000),
+            **more,
+        )
         self.source = SliceSource(settings, self.heard, clock_us)
         self.source.recall()
         self.source.start()
@@ -116,10 +130,14 @@
             assert sum("continue=" in call for call in world.api.calls) == 2
             world.put("s1", "p1", draining="p1")
             world.put("six", "p7", family="IPv6")
-            await until(lambda: world.states() == {"p0": READY, "p1": DRAINING, "p2": READY, "p3": READY,
-                                                   "p4": READY, "p7": READY})
-            assert ("fd00::7", 80) in {known.verdict.address for known in (
-                world.source.listing.known.values() if world.source else ())}
+            await until(
+                lambda: (
+                    world.states() == {"p0": READY, "p1": DRAINING, "p2": READY, "p3": READY, "p4": READY, "p7": READY}
+                )
+            )
+            assert ("fd00::7", 80) in {
+                known.verdict.address for known in (world.source.listing.known.values() if world.source else ())
+            }
 
     run(test)
 
@@ -156,7 +174,8 @@
 
 
 def test_a_server_that_comes_back_compacted_is_listed_anew_and_what_went_meanwhile_is_gone(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(reflect, "FIRST_BACKOFF_US", 1000)
     monkeypatch.setattr(reflect, "LONGEST_BACKOFF_US", 50_000)
 
@@ -232,7 +251,8 @@
 
 @given(st.binary(max_size=200), st.lists(st.integers(0, 400), max_size=6), st.booleans())
 def test_however_a_watch_comes_in_pieces_its_lines_are_whole_and_rubbish_is_a_failure(
-        rubbish: bytes, cuts: list[int], sound: bool) -> None:
+    rubbish: bytes, cuts: list[int], sound: bool
+) -> None:
     async def test() -> None:
         lines: list[bytes] = []
         body = b'{"a":1}\n' + rubbish.replace(b"\r", b"") + b"\n"
@@ -243,8 +263,9 @@
         edges = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
         for begin, end in itertools.pairwise(edges):
             answer.data_received(data[begin:end])
-        assert not sound or (answer.complete and answer.failure is None
-                             and lines == [line for line in body.split(b"\n") if line.strip()])
+        assert not sound or (
+            answer.complete and answer.failure is None and lines == [line for line in body.split(b"\n") if line.strip()]
+        )
 
     asyncio.run(test())
 
@@ -252,8 +273,12 @@
 def test_a_page_that_has_expired_is_followed_by_the_whole_list_in_one_and_never_by_a_loop() -> None:
     reflector = Reflector("default", "convert", Random(1))
     reflector.begin(0)
-    [more] = reflector.page(0, objects.read_list(
-        b'{"metadata":{"resourceVersion":"5","continue":"abc"},"items":[{"metadata":{"name":"s"},"addressType":"IPv4"}]}'))
+    [more] = reflector.page(
+        0,
+        objects.read_list(
+            b'{"metadata":{"resourceVersion":"5","continue":"abc"},"items":[{"metadata":{"name":"s"},"addressType":"IPv4"}]}'
+        ),
+    )
     assert isinstance(more, Call) and "continue=abc" in more.target
     [_, whole] = reflector.failed(1, Failure("expired", 410))
     assert isinstance(whole, Call) and "limit" not in whole.target and "continue" not in whole.target
@@ -277,8 +302,9 @@
     assert "resourceVersion=8" in reflector.woken(wait.until_us)[0].target  # type: ignore[union-attr]
 
 
-def test_tls_with_a_client_certificate_and_a_token_that_changes(tmp_path: Path,
-                                                               monkeypatch: pytest.MonkeyPatch) -> None:
+def test_tls_with_a_client_certificate_and_a_token_that_changes(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(reflect, "FIRST_BACKOFF_US", 1000)
     authority = trustme.CA()
     authority.cert_pem.write_to_path(str(tmp_path / "ca.pem"))
@@ -296,8 +322,13 @@
         async with a_world(tls) as world:
             world.api.token = "first"
             world.put("s1", "p1")
-            access = find_access(f"https://127.0.0.1:{world.port}", str(token), str(tmp_path / "ca.pem"),
-                                 str(tmp_path / "cert.pem"), str(tmp_path / "key.pem"))
+            access = find_access(
+                f"https://127.0.0.1:{world.port}",
+                str(token),
+                str(tmp_path / "ca.pem"),
+                str(tmp_path / "cert.pem"),
+                str(tmp_path / "key.pem"),
+            )
             world.follow(access)
             await until(lambda: world.states() == {"p1": READY})
             world.api.token = "second"
@@ -319,19 +350,26 @@
     async def test() -> None:
         async with a_world(tls) as world:
             world.put("s1", "p1")
-            made = world.follow(find_access(f"https://127.0.0.1:{world.port}", "", str(tmp_path / "ca.pem")),
-                                pushed=False)
+            made = world.follow(
+                find_access(f"https://127.0.0.1:{world.port}", "", str(tmp_path / "ca.pem")), pushed=False
+            )
             await until(lambda: made.client.troubles > 0)
             assert world.api.calls == [] and {event.kind for event in world.events} == {ListKind.FAILED}
 
     run(test)
 
 
-@pytest.mark.parametrize("answer", [
-    b"not http at all\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[1,2]", b"",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", b"HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\nbang",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"not http at all\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[1,2]",
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        b"HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\nbang",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ],
+)
 def test_a_server_that_makes_no_sense_is_asked_again_later(answer: bytes) -> None:
     async def test() -> None:
         calls = 0
@@ -356,7 +394,8 @@
 
 
 def test_a_sidecar_that_starts_while_the_server_is_away_has_the_list_as_written_down(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(source, "CACHE_EVERY_S", 0.01)
     cache = tmp_path / "list.json"
 
@@ -395,8 +434,9 @@
             def list_all() -> tuple[list[Any], str]:
                 found, more = [], None
                 while True:
-                    page = api.list_namespaced_endpoint_slice("default", label_selector=selector, limit=2,
-                                                              _continue=more)
+                    page = api.list_namespaced_endpoint_slice(
+                        "default", label_selector=selector, limit=2, _continue=more
+                    )
                     found += page.items
                     more = page.metadata._continue
                     if not more:
@@ -405,8 +445,14 @@
             def follow(version: str, count: int) -> list[tuple[str, str]]:
                 seen = []
                 watch: Any = kubernetes_watch.Watch()  # type: ignore[no-untyped-call]
-                for event in watch.stream(api.list_namespaced_endpoint_slice, "default", label_selector=selector,
-                                          resource_version=version, timeout_seconds=5, allow_watch_bookmarks=False):
+                for event in watch.stream(
+                    api.list_namespaced_endpoint_slice,
+                    "default",
+                    label_selector=selector,
+                    resource_version=version,
+                    timeout_seconds=5,
+                    allow_watch_bookmarks=False,
+                ):
                     seen.append((event["type"], event["object"].metadata.name))
                     if len(seen) == count:
                         watch.stop()
@@ -431,10 +477,16 @@
     run(test)
 
 
-@pytest.mark.parametrize(("server", "text"), [
-    ("ftp://x", "expected http"), ("https://", "expected http"), ("127.0.0.1:80", "expected http"),
-    ("http://h:99999", "out of range"), ("", "KUBERNETES_SERVICE_HOST"),
-])
+@pytest.mark.parametrize(
+    ("server", "text"),
+    [
+        ("ftp://x", "expected http"),
+        ("https://", "expected http"),
+        ("127.0.0.1:80", "expected http"),
+        ("http://h:99999", "out of range"),
+        ("", "KUBERNETES_SERVICE_HOST"),
+    ],
+)
 def test_a_server_that_is_none_is_told_of(server: str, text: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.delenv("KUBERNETES_SERVICE_HOST", raising=False)
     with pytest.raises(AccessError, match=text):
@@ -447,8 +499,9 @@
             world.put("s1", "p1", "p2")
             world.put("s2", "p1", draining="p1")
             path = tmp_path / "ryepier.toml"
-            path.write_text(f'[slices]\nservice = "convert"\nnamespace = "default"\n'
-                            f'server = "http://127.0.0.1:{world.port}"\n')
+            path.write_text(
+                f'[slices]\nservice = "convert"\nnamespace = "default"\nserver = "http://127.0.0.1:{world.port}"\n'
+            )
             code, said = await command("slices", "explain", "10.0.0.1", "--config", str(path))
             assert code == 0 and "10.0.0.1:80 p1: draining, by rule 3" in said
             assert "  s1, generation 1: ready" in said and "  s2, generation 1: terminating" in said
@@ -457,8 +510,16 @@
             code, _ = await command("slices", "explain", "10.0.0.1")
             assert code == 2
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "ryepier", "slices", "watch", "--json", "--config", str(path),
-                stdout=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-m",
+                "ryepier",
+                "slices",
+                "watch",
+                "--json",
+                "--config",
+                str(path),
+                stdout=asyncio.subprocess.PIPE,
+            )
             assert process.stdout is not None
             lines = [json.loads(await process.stdout.readline()) for _ in range(2)]
             assert {line["uid"]: line["state"] for line in lines} == {"p1": "draining", "p2": "ready"}
@@ -474,7 +535,8 @@
 async def command(*arguments: str) -> tuple[int, str]:
     """How `ryepier` ends, and what it prints."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "ryepier", *arguments, stdout=asyncio.subprocess.PIPE)
+        sys.executable, "-m", "ryepier", *arguments, stdout=asyncio.subprocess.PIPE
+    )
     said, _ = await process.communicate()
     assert process.returncode is not None
     return process.returncode, said.decode()
@@ -490,8 +552,7 @@
             made["ports"] = [{"name": "http", "port": port}]
             world.store.put("default", "s1", made, {SERVICE_LABEL: "convert"})
             config = load(str(configuration(tmp_path, known=None)))
-            text = (f'[slices]\nservice = "convert"\nnamespace = "default"\n'
-                    f'server = "http://127.0.0.1:{world.port}"\n')
+            text = f'[slices]\nservice = "convert"\nnamespace = "default"\nserver = "http://127.0.0.1:{world.port}"\n'
             stop = asyncio.Event()
             parts = parts_for(operators.parse(text, {}))
             serving = asyncio.create_task(serve(config, stop, asyncio.Event(), parts))
--- a/tests/test_slice_listing.py
+++ b/tests/test_slice_listing.py
@@ -14,8 +14,9 @@
 SECOND = 1_000_000
 
 
-def verdict(identity: str = "p1", ready: bool = True, node: str = "", address: str = "10.0.0.1",
-            ends: bool = False) -> Verdict:
+def verdict(
+    identity: str = "p1", ready: bool = True, node: str = "", address: str = "10.0.0.1", ends: bool = False
+) -> Verdict:
     return Verdict(identity, (address, 80), "a", node, READY if ready else DRAINING, ends, 1, ("s1",))
 
 
@@ -34,7 +35,7 @@
     for flap in range(3):
         assert told(made, now_us, p1=verdict(ready=False)) == {1: DRAINING}
         assert told(made, now_us + 1, p1=verdict()) == {}
-        wait_us = SETTLE_US * 2 ** flap
+        wait_us = SETTLE_US * 2**flap
         assert made.next_us == now_us + 1 + wait_us
         assert told(made, now_us + wait_us) == {}
         assert told(made, now_us + 1 + wait_us) == {1: READY}
@@ -70,8 +71,10 @@
     made.update(0, {"p1": verdict(), "10.0.0.9:80": verdict("10.0.0.9:80")})
     made.whole()
     assert told(made, 1, **{"p1": None, "10.0.0.9:80": None}) == {1: GONE, 2: GONE}
-    back = {entry.id: entry.started_us for entry, _ in made.update(
-        2, {"p1": verdict(), "10.0.0.9:80": verdict("10.0.0.9:80")})}
+    back = {
+        entry.id: entry.started_us
+        for entry, _ in made.update(2, {"p1": verdict(), "10.0.0.9:80": verdict("10.0.0.9:80")})
+    }
     assert back == {1: 0, 3: 2}
 
 
@@ -99,10 +102,17 @@
     assert (entry.id, entry.state, address) == (1, READY, ("10.0.0.7", 80))
 
 
-@given(st.lists(st.tuples(st.integers(0, 3 * SETTLE_US), st.sampled_from(["p1", "p2"]),
-                          st.sampled_from(["ready", "not", "ends", "gone"])), max_size=30))
-def test_whatever_comes_the_module_never_holds_one_for_ready_that_is_not(
-        steps: list[tuple[int, str, str]]) -> None:
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 3 * SETTLE_US),
+            st.sampled_from(["p1", "p2"]),
+            st.sampled_from(["ready", "not", "ends", "gone"]),
+        ),
+        max_size=30,
+    )
+)
+def test_whatever_comes_the_module_never_holds_one_for_ready_that_is_not(steps: list[tuple[int, str, str]]) -> None:
     made = listing()
     now_us, said, held = 0, {}, {}
     for after_us, identity, word in steps:
--- a/tests/test_slices.py
+++ b/tests/test_slices.py
@@ -23,8 +23,12 @@
 
 
 def a_slice(*endpoints: dict[str, Any], name: str = "s1", uid: str = "u1", generation: int = 1) -> Slice:
-    raw = {"metadata": {"name": name, "uid": uid, "generation": generation}, "addressType": "IPv4",
-           "endpoints": list(endpoints), "ports": [{"name": "http", "port": 80}, {"name": "other", "port": 81}]}
+    raw = {
+        "metadata": {"name": name, "uid": uid, "generation": generation},
+        "addressType": "IPv4",
+        "endpoints": list(endpoints),
+        "ports": [{"name": "http", "port": 80}, {"name": "other", "port": 81}],
+    }
     found = read_event(json.dumps({"type": "ADDED", "object": raw}).encode()).slice
     assert found is not None
     return found
@@ -34,11 +38,19 @@
     return {identity: verdict.state for identity, verdict in merger.verdicts(now_us).items()}
 
 
-@pytest.mark.parametrize(("conditions", "state"), [
-    ({}, READY), ({"ready": None}, READY), ({"ready": True}, READY), ({"ready": False}, DRAINING),
-    ({"ready": True, "serving": False}, DRAINING), ({"ready": False, "serving": True}, DRAINING),
-    ({"ready": True, "terminating": True}, DRAINING), ({"ready": True, "terminating": False}, READY),
-])
+@pytest.mark.parametrize(
+    ("conditions", "state"),
+    [
+        ({}, READY),
+        ({"ready": None}, READY),
+        ({"ready": True}, READY),
+        ({"ready": False}, DRAINING),
+        ({"ready": True, "serving": False}, DRAINING),
+        ({"ready": False, "serving": True}, DRAINING),
+        ({"ready": True, "terminating": True}, DRAINING),
+        ({"ready": True, "terminating": False}, READY),
+    ],
+)
 def test_conditions_are_read_as_the_api_says(conditions: dict[str, Any], state: UpstreamState) -> None:
     merger = Merger()
     merger.apply(a_slice(endpoint(**conditions)))
@@ -98,16 +110,20 @@
 
 def test_a_rolling_update_of_a_thousand_in_slices_of_a_hundred_ends_with_the_new_ones_and_no_end_taken_back() -> None:
     merger, size = Merger(), 100
-    slices = [[endpoint(f"old{i}", f"10.0.{i // 250}.{i % 250}") for i in range(first, first + size)]
-              for first in range(0, 10 * size, size)]
+    slices = [
+        [endpoint(f"old{i}", f"10.0.{i // 250}.{i % 250}") for i in range(first, first + size)]
+        for first in range(0, 10 * size, size)
+    ]
     for index, content in enumerate(slices):
         merger.apply(a_slice(*content, name=f"s{index}", uid=f"u{index}", generation=1))
     merger.changes(0)
     generation = 1
     for number in range(10 * size):
         index, place = number % 10, number // 10
-        for new in (endpoint(f"old{index * size + place}", "10.0.0.1", terminating=True),
-                    endpoint(f"new{number}", f"10.1.{number // 250}.{number % 250}")):
+        for new in (
+            endpoint(f"old{index * size + place}", "10.0.0.1", terminating=True),
+            endpoint(f"new{number}", f"10.1.{number // 250}.{number % 250}"),
+        ):
             generation += 1
             slices[index][place] = new
             merger.apply(a_slice(*slices[index], name=f"s{index}", uid=f"u{index}", generation=generation))
@@ -116,19 +132,29 @@
     assert states(merger) == {f"new{number}": READY for number in range(10 * size)}
 
 
-STREAMS = st.lists(st.lists(st.tuples(st.sampled_from(["p1", "p2", "p3"]), st.booleans(), st.booleans()), max_size=3),
-                   min_size=1, max_size=4)
+STREAMS = st.lists(
+    st.lists(st.tuples(st.sampled_from(["p1", "p2", "p3"]), st.booleans(), st.booleans()), max_size=3),
+    min_size=1,
+    max_size=4,
+)
 
 
 @given(st.lists(STREAMS, min_size=1, max_size=3), st.data())
 def test_any_interleaving_with_repeats_ends_in_the_same_list_and_no_end_is_taken_back(
-        contents: list[list[list[tuple[str, bool, bool]]]], data: Any) -> None:
+    contents: list[list[list[tuple[str, bool, bool]]]], data: Any
+) -> None:
     streams = []
     for index, generations in enumerate(contents):
-        pods = [[endpoint(pod, f"10.0.0.{pod[1]}", ready=ready, terminating=ends) for pod, ready, ends in each]
-                for each in generations]
-        streams.append([a_slice(*each, name=f"s{index}", uid=f"u{index}", generation=number)
-                        for number, each in enumerate(pods, 1)])
+        pods = [
+            [endpoint(pod, f"10.0.0.{pod[1]}", ready=ready, terminating=ends) for pod, ready, ends in each]
+            for each in generations
+        ]
+        streams.append(
+            [
+                a_slice(*each, name=f"s{index}", uid=f"u{index}", generation=number)
+                for number, each in enumerate(pods, 1)
+            ]
+        )
     straight, mixed = Merger(), Merger()
     for stream in streams:
         for one in stream:
@@ -137,8 +163,11 @@
     everything = [one for stream in streams for one in stream]
     for one in data.draw(st.permutations(everything + everything[::2])):
         mixed.apply(one)
-        ended |= {e.target_ref.uid or "" for e in one.endpoints or []
-                  if e.target_ref and e.conditions and e.conditions.terminating}
+        ended |= {
+            e.target_ref.uid or ""
+            for e in one.endpoints or []
+            if e.target_ref and e.conditions and e.conditions.terminating
+        }
         assert all(mixed.verdicts(0)[pod].state is DRAINING for pod in ended & mixed.verdicts(0).keys())
     mixed.replace([stream[-1] for stream in streams])
     # a list that was empty on the way is held for a while (rule 6); after that all is one
@@ -147,11 +176,19 @@
     assert mixed.verdicts(HOLD_US) == straight.verdicts(HOLD_US)
 
 
-@given(st.binary(max_size=200) | st.recursive(
-    st.none() | st.booleans() | st.integers() | st.text(max_size=9),
-    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(
-        st.sampled_from(["type", "object", "metadata", "name", "endpoints", "addresses", "ports", "x"]), inner),
-    max_leaves=20).map(lambda value: json.dumps(value).encode()))
+@given(
+    st.binary(max_size=200)
+    | st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=9),
+        lambda inner: (
+            st.lists(inner, max_size=4)
+            | st.dictionaries(
+                st.sampled_from(["type", "object", "metadata", "name", "endpoints", "addresses", "ports", "x"]), inner
+            )
+        ),
+        max_leaves=20,
+    ).map(lambda value: json.dumps(value).encode())
+)
 def test_what_is_no_event_and_no_list_is_an_error_and_nothing_else(data: bytes) -> None:
     for read in (read_event, read_list):
         with suppress(SliceError):
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -43,13 +43,16 @@
     assert slope.at(3200).value == pytest.approx(6405.0)
 
 
-@pytest.mark.parametrize("sizes, values", [
-    ((1, 2, 3), (1.0, 2.0, 3.0)),
-    ((1, 2, 3, 3), (1.0, 2.0, 3.0, 3.0)),
-    ((1, 2, 3, 4), (1.0, 2.0, 3.0)),
-    ((1, 2, 3, 4), (1.0, 2.0, float("nan"), 4.0)),
-    ((1, 2, 3, float("inf")), (1.0, 2.0, 3.0, 4.0)),
-])
+@pytest.mark.parametrize(
+    "sizes, values",
+    [
+        ((1, 2, 3), (1.0, 2.0, 3.0)),
+        ((1, 2, 3, 3), (1.0, 2.0, 3.0, 3.0)),
+        ((1, 2, 3, 4), (1.0, 2.0, 3.0)),
+        ((1, 2, 3, 4), (1.0, 2.0, float("nan"), 4.0)),
+        ((1, 2, 3, float("inf")), (1.0, 2.0, 3.0, 4.0)),
+    ],
+)
 def test_what_makes_no_line_is_refused(sizes: tuple[float, ...], values: tuple[float, ...]) -> None:
     with pytest.raises(ValueError):
         slopes.fit(sizes, values)
@@ -70,13 +73,16 @@
     assert hollow.this_machine().total_bytes > hollow.this_machine().available_bytes > 0
 
 
-@pytest.mark.parametrize("needs, machine, why", [
-    (Needs(9, GB), Machine(24 * GB, 15 * GB, 1024), "9 processes"),
-    (Needs(8, 11 * GB), Machine(64 * GB, 60 * GB, 1024), "at most 10.0 GB"),
-    (Needs(8, 5 * GB), Machine(8 * GB, 7 * GB, 1024), "at most 4.0 GB"),
-    (Needs(8, 5 * GB), Machine(24 * GB, 3 * GB, 1024), "only 3.0 GB"),
-    (Needs(1, GB, sockets=1000), Machine(24 * GB, 15 * GB, 1024), "1000 sockets"),
-])
+@pytest.mark.parametrize(
+    "needs, machine, why",
+    [
+        (Needs(9, GB), Machine(24 * GB, 15 * GB, 1024), "9 processes"),
+        (Needs(8, 11 * GB), Machine(64 * GB, 60 * GB, 1024), "at most 10.0 GB"),
+        (Needs(8, 5 * GB), Machine(8 * GB, 7 * GB, 1024), "at most 4.0 GB"),
+        (Needs(8, 5 * GB), Machine(24 * GB, 3 * GB, 1024), "only 3.0 GB"),
+        (Needs(1, GB, sockets=1000), Machine(24 * GB, 15 * GB, 1024), "1000 sockets"),
+    ],
+)
 def test_what_the_machine_cannot_spare_is_refused(needs: Needs, machine: Machine, why: str) -> None:
     with pytest.raises(NotSpared, match=why):
         hollow.check(needs, machine)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -151,8 +151,14 @@
     assert not world.sends(request)
 
 
-def churn(world: World, steps: int, bad: int | None = None, fault: Outcome = Outcome.FULL,
-          class_index: int = READ, took_us: int = 10_000) -> None:
+def churn(
+    world: World,
+    steps: int,
+    bad: int | None = None,
+    fault: Outcome = Outcome.FULL,
+    class_index: int = READ,
+    took_us: int = 10_000,
+) -> None:
     """A request a step; whatever is out ends at the step's end, with `fault` at the upstream `bad`."""
     for _ in range(steps):
         world.arrive(class_index)
@@ -623,7 +629,8 @@
 
 @pytest.mark.parametrize(("took_us", "keeps"), [(10_000, True), (140_000, False)])
 def test_an_upstream_that_turns_a_part_away_keeps_its_slots_if_it_is_quick_with_the_rest(
-        took_us: int, keeps: bool) -> None:
+    took_us: int, keeps: bool
+) -> None:
     world, chance = ready_world(second_copies=False), random.Random(5)
     for _ in range(400):
         requests = [world.arrive(PAY) for _ in range(4)]
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -83,8 +83,15 @@
         self.changes: list[tuple[float, bool, Evidence]] = []
         self.told = StormUpdated()
 
-    def run(self, seconds: float, first: float, later: float = 0.0, served: float | None = None,
-            tenant: int = 0, refused_first: float = 0.0) -> StormUpdated:
+    def run(
+        self,
+        seconds: float,
+        first: float,
+        later: float = 0.0,
+        served: float | None = None,
+        tenant: int = 0,
+        refused_first: float = 0.0,
+    ) -> StormUpdated:
         served = first + later if served is None else served
         for _ in range(int(seconds * 1e6 / TICK_US)):
             for tries, rate in ((0, first), (1, later)):
@@ -231,8 +238,7 @@
 # A whole sidecar
 
 
-def test_a_sidecar_sees_a_storm_open_and_close_over_an_outage(
-        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+def test_a_sidecar_sees_a_storm_open_and_close_over_an_outage(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
     async def convert(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -188,15 +188,20 @@
 SINGLE = [(fault,) for fault in FAULTS]
 ALIKE = ("head only", "503 without end", "half a list")  # others of their kind are paired, as all take too long
 PAIRS = list(itertools.permutations((fault for fault in FAULTS if fault not in ALIKE), 2))
-LONGER = [("silent", "silent", "silent"), ("refused", "refused", "half a list, a byte at a time"),
-          ("reset", "503", "half a list", "silent"), ("watch falls silent", "silent", "refused", "dial hangs")]
+LONGER = [
+    ("silent", "silent", "silent"),
+    ("refused", "refused", "half a list, a byte at a time"),
+    ("reset", "503", "half a list", "silent"),
+    ("watch falls silent", "silent", "refused", "dial hangs"),
+]
 READ_OVER_AND_OVER = [("unreadable",) * 6 + last for last in (("silent",), ("dial hangs",), ("refused", "half a list"))]
 CASES = [(order, pushed) for order in SINGLE + PAIRS + LONGER for pushed in (True, False)]
 CASES += [(order, True) for order in READ_OVER_AND_OVER]  # only there the sidecar itself makes the pause
 
 
 def test_a_change_has_come_6_s_after_discovery_could_be_reached_in_every_order_of_faults(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     agents: dict[int, Faulty] = {}
     watch_dials(monkeypatch, agents)
 
@@ -376,7 +381,9 @@
     after = [sidecar.told_s - reachable_s for sidecar in fleet.sidecars]
     calls = " ".join(f"{second}:{count}" for second, count in sorted(fleet.calls.items()))
     half_s = sorted(after)[len(after) // 2]
-    print(f"{len(after)} sidecars, {order}: told {half_s:.2f} s (half), {max(after):.2f} s (all); "
-          f"{fleet.failed} calls failed; calls a second {calls}")
+    print(
+        f"{len(after)} sidecars, {order}: told {half_s:.2f} s (half), {max(after):.2f} s (all); "
+        f"{fleet.failed} calls failed; calls a second {calls}"
+    )
     assert min(after) > 0.0, "some were never told"
     assert max(after) < TOLD_S
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,20 +12,30 @@
 from ryepier.balancer.balancer import Balancer
 from tests.options import OPTIONS
 
-LIST = ("6e 00000000 02000000 074a1203 00 00 0000 01 0000803f 0000000000000000"
-        " f211902c 01 00 0000 01 0000c03f 20145d0000000000")
+LIST = (
+    "6e 00000000 02000000 074a1203 00 00 0000 01 0000803f 0000000000000000"
+    " f211902c 01 00 0000 01 0000c03f 20145d0000000000"
+)
 FIRST, SECOND, TICKET, OTHER = 0x03124A07, 0x2C9011F2, 0x5D3A91C4, 0x0E6F2B19
 
 EVENTS: list[tuple[str, wire.Record]] = [
-    (LIST + "50 0300 02 29000000 00000000", api.UpstreamsUpdated(api.ListKind.CACHED, [
-        api.Upstream(FIRST), api.Upstream(SECOND, zone=1, weight=1.5, started_us=6100000)], 41)),
-    ("46 0300 c4913a5d 00 00000000 640ad2557c3bf091 e02e0000 01 da05840000000000",
-     api.RequestArrived(TICKET, 8652250, 0, 0, 0x91F03B7C55D20A64, 12000)),
+    (
+        LIST + "50 0300 02 29000000 00000000",
+        api.UpstreamsUpdated(
+            api.ListKind.CACHED, [api.Upstream(FIRST), api.Upstream(SECOND, zone=1, weight=1.5, started_us=6100000)], 41
+        ),
+    ),
+    (
+        "46 0300 c4913a5d 00 00000000 640ad2557c3bf091 e02e0000 01 da05840000000000",
+        api.RequestArrived(TICKET, 8652250, 0, 0, 0x91F03B7C55D20A64, 12000),
+    ),
     ("28 0300", wire.InstanceStopped()),
     ("32 0300 4d000000", api.TimerFired(77)),
     ("3c 0300 192b6f0e", api.RequestGone(OTHER)),
-    ("0a 0300 c4913a5d 00 074a1203 0000 44480000 01 00",
-     api.AttemptEnded(TICKET, 0, FIRST, api.Outcome.OK, 18500, True)),
+    (
+        "0a 0300 c4913a5d 00 074a1203 0000 44480000 01 00",
+        api.AttemptEnded(TICKET, 0, FIRST, api.Outcome.OK, 18500, True),
+    ),
     ("1e 0300 0200 0400 68692037", api.PeerMessage(2, b"hi 7")),
     ("14 0300 c4913a5d 00 22240000 074a1203", api.StreamStarted(TICKET, 0, FIRST, 9250)),
     ("5a 0300 f211902c 0000 78050000 00", api.ProbeEnded(SECOND, api.Outcome.OK, 1400)),
@@ -47,9 +57,11 @@
 ]
 
 EMPTY = "00000000 00000000 5a5c800000000000"
-THREE = ("2f000000 03000000 5a5c800000000000"
-         "46 0300 c4913a5d 00 00000000 640ad2557c3bf091 e02e0000 01 da05840000000000"
-         "32 0300 4d000000 3c 0500 192b6f0e")
+THREE = (
+    "2f000000 03000000 5a5c800000000000"
+    "46 0300 c4913a5d 00 00000000 640ad2557c3bf091 e02e0000 01 da05840000000000"
+    "32 0300 4d000000 3c 0500 192b6f0e"
+)
 
 
 def power_on(text: str = OPTIONS, instance: int = 3, seed: int = 9) -> bytes:
@@ -83,13 +95,16 @@
 def test_the_documented_frames() -> None:
     assert serve(bytes.fromhex(EMPTY)) == bytes.fromhex("00000000 00000000")
     events = list(wire.Decoder().batch(bytes.fromhex(THREE)[16:], 3))
-    assert [(i, type(e).__name__) for i, e in events] == [
-        (3, "RequestArrived"), (3, "TimerFired"), (5, "RequestGone")]
-    records = [wire.encode(3, ACTIONS[0][1]), wire.encode(3, ACTIONS[6][1]), bytes.fromhex(
-        "78 0500 1100 74776f2073657276657273206b6e6f776e")]
+    assert [(i, type(e).__name__) for i, e in events] == [(3, "RequestArrived"), (3, "TimerFired"), (5, "RequestGone")]
+    records = [
+        wire.encode(3, ACTIONS[0][1]),
+        wire.encode(3, ACTIONS[6][1]),
+        bytes.fromhex("78 0500 1100 74776f2073657276657273206b6e6f776e"),
+    ]
     assert wire.reply(records) == bytes.fromhex(
         "34000000 03000000 14 0300 c4913a5d 074a1203 80380100 1e 0300 7afd870000000000 4d000000"
-        "78 0500 1100 74776f2073657276657273206b6e6f776e")
+        "78 0500 1100 74776f2073657276657273206b6e6f776e"
+    )
 
 
 def test_a_request_goes_through_the_adapter() -> None:
@@ -119,25 +134,29 @@
     assert isinstance(second[1], api.UpstreamsUpdated) and second[1].upstreams == []
 
 
-@pytest.mark.parametrize(("data", "words"), [
-    (bytes(7), "batch 0: truncated header: 7 of 16 bytes"),
-    (bytes.fromhex(EMPTY) + bytes.fromhex(THREE)[:30], "batch 1: truncated body"),
-    (batch([b"\x07\x03\x00"]), "record 0 at byte 0: unknown event code 7"),
-    (batch([b"\x32\x03\x00\x01"]), "record 0 at byte 0: truncated"),
-    (struct.pack("<IIQ", 3, 0, 5) + b"abc", "3 bytes left over"),
-    (batch([bytes.fromhex("50 0300 02 29000000 05000000")]), "upstream list 5 was never sent"),
-    (batch([bytes.fromhex("0a 0300 c4913a5d 00 074a1203 6300 44480000 01 00")]), "unknown outcome 99"),
-    (batch([bytes.fromhex("0a 0300 c4913a5d 00 074a1203 0000 44480000 01 01 0000c07f")]), "finite"),
-    (batch([bytes.fromhex("6e 00000000 01000000 074a1203 00 00 0000 09 0000803f 0000000000000000")]),
-     "unknown upstream condition 9"),
-    (batch([power_on("instances=3\nnonsense")]), "settings line 2: expected path=value"),
-    (batch([power_on(OPTIONS.replace("instances=3", "instances=many"))]),
-     "setting instances: expected a number"),
-    (batch([power_on(OPTIONS.replace("instances=3\n", ""))]), "setting instances is missing"),
-    (batch([power_on(OPTIONS.replace("most-tries=4", "most-tries=-4"))]), "max_attempts of 1 or more"),
-    (batch([power_on(OPTIONS.replace("=at_most_once", "=sometimes"))]), "expected one of idempotent"),
-    (batch([power_on(OPTIONS.replace("cancel=true", "cancel=yes"))]), "expected one of true, false"),
-])
+@pytest.mark.parametrize(
+    ("data", "words"),
+    [
+        (bytes(7), "batch 0: truncated header: 7 of 16 bytes"),
+        (bytes.fromhex(EMPTY) + bytes.fromhex(THREE)[:30], "batch 1: truncated body"),
+        (batch([b"\x07\x03\x00"]), "record 0 at byte 0: unknown event code 7"),
+        (batch([b"\x32\x03\x00\x01"]), "record 0 at byte 0: truncated"),
+        (struct.pack("<IIQ", 3, 0, 5) + b"abc", "3 bytes left over"),
+        (batch([bytes.fromhex("50 0300 02 29000000 05000000")]), "upstream list 5 was never sent"),
+        (batch([bytes.fromhex("0a 0300 c4913a5d 00 074a1203 6300 44480000 01 00")]), "unknown outcome 99"),
+        (batch([bytes.fromhex("0a 0300 c4913a5d 00 074a1203 0000 44480000 01 01 0000c07f")]), "finite"),
+        (
+            batch([bytes.fromhex("6e 00000000 01000000 074a1203 00 00 0000 09 0000803f 0000000000000000")]),
+            "unknown upstream condition 9",
+        ),
+        (batch([power_on("instances=3\nnonsense")]), "settings line 2: expected path=value"),
+        (batch([power_on(OPTIONS.replace("instances=3", "instances=many"))]), "setting instances: expected a number"),
+        (batch([power_on(OPTIONS.replace("instances=3\n", ""))]), "setting instances is missing"),
+        (batch([power_on(OPTIONS.replace("most-tries=4", "most-tries=-4"))]), "max_attempts of 1 or more"),
+        (batch([power_on(OPTIONS.replace("=at_most_once", "=sometimes"))]), "expected one of idempotent"),
+        (batch([power_on(OPTIONS.replace("cancel=true", "cancel=yes"))]), "expected one of true, false"),
+    ],
+)
 def test_what_is_malformed_is_told_in_one_line(data: bytes, words: str) -> None:
     with pytest.raises(wire.WireError) as caught:
         serve(data)
--- a/tests/world.py
+++ b/tests/world.py
@@ -43,16 +43,32 @@
     return [
         RequestClass("read", aim_us=300_000, deadline_us=1_500_000, effect="idempotent", late_worth=0.3),
         RequestClass("pay", aim_us=300_000, deadline_us=600_000, worth=5, effect="at_most_once"),
-        RequestClass("mark", aim_us=400_000, deadline_us=2_000_000, worth=3, effect="deduplicated",
-                     group="cell", memory_us=1_200_000),
+        RequestClass(
+            "mark",
+            aim_us=400_000,
+            deadline_us=2_000_000,
+            worth=3,
+            effect="deduplicated",
+            group="cell",
+            memory_us=1_200_000,
+        ),
     ]
 
 
 def settings(**changes: object) -> Settings:
     values: dict[str, object] = {
-        "classes": classes(), "instances": 3, "tick_us": 4000, "max_attempts": 4, "cancel": True,
-        "max_retry_after_us": 1_000_000, "connect_timeout_us": 150_000, "second_copies": True,
-        "cold_share": 0.2, "warm_up_us": 20_000_000, "overload_factor": 2.5, "fall_us": 1_000_000,
+        "classes": classes(),
+        "instances": 3,
+        "tick_us": 4000,
+        "max_attempts": 4,
+        "cancel": True,
+        "max_retry_after_us": 1_000_000,
+        "connect_timeout_us": 150_000,
+        "second_copies": True,
+        "cold_share": 0.2,
+        "warm_up_us": 20_000_000,
+        "overload_factor": 2.5,
+        "fall_us": 1_000_000,
     }
     values.update(changes)
     return Settings(**values)  # type: ignore[arg-type]
@@ -138,8 +154,9 @@
         if (outcome is Outcome.OK or owed.stream) and not owed.closed:
             owed.closed = True
             owed.answers += 1
-        return self.tell(AttemptEnded(request, attempt, this.upstream, outcome, self.now_us - this.sent_us,
-                                      owed.closed, **fields))
+        return self.tell(
+            AttemptEnded(request, attempt, this.upstream, outcome, self.now_us - this.sent_us, owed.closed, **fields)
+        )
 
     def begin_stream(self, request: int, attempt: int) -> None:
         self.owed[request].stream = True
@@ -155,8 +172,13 @@
         end_us = self.now_us + by_us
         while True:
             due = [(at, 1, token, 0) for at, token in self.timers]
-            due += [(t.ends_us, 0, ident, n) for ident, owed in self.owed.items() if not owed.stream
-                    for n, t in enumerate(owed.tries) if t.outcome is None]
+            due += [
+                (t.ends_us, 0, ident, n)
+                for ident, owed in self.owed.items()
+                if not owed.stream
+                for n, t in enumerate(owed.tries)
+                if t.outcome is None
+            ]
             due = [d for d in due if d[0] <= end_us]
             if not due:
                 break
