--- a/ryepier/balancer/interface.py
+++ b/ryepier/balancer/interface.py
@@ -234,8 +234,8 @@
 
 @dataclass(slots=True)
 class PlanUpdated:
-    """Advice in place of all earlier advice; upstreams that it does not name, or that the list lacks, go without.
-    It bounds and informs: which upstream gets a request is still decided here."""
+    """Advice in place of all earlier advice; upstreams that it does not name, or that the list lacks, go
+    without. It bounds and informs: which upstream gets a request is still decided here."""
 
     advice: list[Advice] = field(default_factory=list)
     tenant_worth: list[float] = field(
@@ -248,8 +248,8 @@
 
 @dataclass(slots=True)
 class StormUpdated:
-    """Whether clients' retries are a storm, and how to take them, in place of what was said before. Lists are by
-    `RequestArrived.tries`, their last entry for all beyond; first tries are always let in."""
+    """Whether clients' retries are a storm, and how to take them, in place of what was said before. Lists are
+    by `RequestArrived.tries`, their last entry for all beyond; first tries are always let in."""
 
     active: bool = False
     admit: list[float] = field(default_factory=list)  # the share of arrivals let in
--- a/ryepier/check/plants.py
+++ b/ryepier/check/plants.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ryepier.balancer import interface as api
-from ryepier.balancer.balancer import Balancer, Request
+from ryepier.balancer.balancer import Attempt, Balancer, Request
 from ryepier.sidecar.host import Answer, Host, Result, Verdict
 
 HELD_BEFORE_US = 30_000  # a held refusal goes out so long before the client's time is out
@@ -69,14 +69,12 @@
 
 def careless_resend() -> None:
     """What was reset is taken for never run."""
-    Request.first_that_may_have_run = lambda self: next(
-        (  # type: ignore[method-assign]
-            a
-            for a in self.attempts
-            if a.ended not in (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT, api.Outcome.RESET)
-        ),
-        None,
-    )
+    never_ran = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT, api.Outcome.RESET)
+
+    def first_not_reset(self: Request) -> Attempt | None:
+        return next((attempt for attempt in self.attempts if attempt.ended not in never_ran), None)
+
+    Request.first_that_may_have_run = first_not_reset  # type: ignore[method-assign]
 
 
 def any_cell() -> None:
--- a/ryepier/commands/experiment.py
+++ b/ryepier/commands/experiment.py
@@ -16,7 +16,7 @@
 from ryepier.experiments import capacity as table
 from ryepier.experiments import capacity_rows, contract, report
 from ryepier.experiments.catalogue import EXPERIMENTS, MEASURED
-from ryepier.experiments.hollow import NotSpared
+from ryepier.experiments.hollow import InsufficientResourcesError
 
 ALL: dict[str, contract.Experiment | contract.Measured] = {**EXPERIMENTS, **MEASURED}
 
@@ -86,7 +86,7 @@
 def _failing_clearly(work: Callable[[], Any]) -> Any:
     try:
         return work()
-    except NotSpared as error:
+    except InsufficientResourcesError as error:
         print(f"ryepier experiment: {error}", file=sys.stderr)
         sys.exit(2)
     except (RigError, OSError) as error:
--- a/ryepier/experiments/hollow.py
+++ b/ryepier/experiments/hollow.py
@@ -30,7 +30,7 @@
 MEMINFO = "/proc/meminfo"
 
 
-class NotSpared(RigError):
+class InsufficientResourcesError(RigError):
     """The machine can't spare what a test needs, or the test asks for more than any may; nothing was started."""
 
 
@@ -64,19 +64,23 @@
 
 
 def check(needs: Needs, machine: Machine) -> None:
-    """Raises NotSpared that says what is too much, and by how much."""
+    """Raises InsufficientResourcesError that says what is too much, and by how much."""
     gigabyte = 10**9
     most = min(MOST_BYTES, int(machine.total_bytes * MOST_OF_MEMORY))
     if needs.processes > MOST_PROCESSES:
-        raise NotSpared(f"{needs.processes} processes asked for, at most {MOST_PROCESSES} may be")
+        raise InsufficientResourcesError(f"{needs.processes} processes asked for, at most {MOST_PROCESSES} may be")
     if needs.bytes > most:
-        raise NotSpared(f"{needs.bytes / gigabyte:.1f} GB asked for, at most {most / gigabyte:.1f} GB may be")
+        raise InsufficientResourcesError(
+            f"{needs.bytes / gigabyte:.1f} GB asked for, at most {most / gigabyte:.1f} GB may be"
+        )
     if needs.bytes > machine.available_bytes:
-        raise NotSpared(
+        raise InsufficientResourcesError(
             f"{needs.bytes / gigabyte:.1f} GB asked for, and only {machine.available_bytes / gigabyte:.1f} GB are free"
         )
     if needs.sockets + SPARE_SOCKETS > machine.sockets:
-        raise NotSpared(f"{needs.sockets} sockets asked for in a process, which may hold {machine.sockets} files")
+        raise InsufficientResourcesError(
+            f"{needs.sockets} sockets asked for in a process, which may hold {machine.sockets} files"
+        )
 
 
 def usage(pid: int) -> Usage:
--- a/ryepier/experiments/hunt.py
+++ b/ryepier/experiments/hunt.py
@@ -32,7 +32,7 @@
 )
 from ryepier.experiments import judge, planted
 from ryepier.experiments.coverage import Coverage, cover
-from ryepier.sim.loop import Stuck
+from ryepier.sim.loop import StuckError
 from ryepier.sim.run import SimulationError
 
 LENGTH_S = 5.0
@@ -190,7 +190,7 @@
     """One run: what broke, if anything, and what was seen, unless the run itself failed."""
     try:
         history = simulated.play(world, seed)
-    except (Stuck, SimulationError) as error:
+    except (StuckError, SimulationError) as error:
         return Find(seed, world, {"failed": 1}, str(error), plant), None
     except Exception as error:  # hazard: of the emulator's own; one world must not end the hunt
         return Find(seed, world, {"failed": 1}, f"the emulator: {error!r}", plant), None
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -301,11 +301,12 @@
     from ryepier.storm.detect import Detector, Evidence
 
     Detector._opens = lambda self, evidence: evidence.later_share > 0  # type: ignore[method-assign]
-    Detector._evidence = (
-        lambda self, now_us: Evidence(  # type: ignore[method-assign]
-            sum(self.rates), self.served, sum(self.rates[1:]) / max(1.0, sum(self.rates)), 0.0, None
-        )
-    )
+
+    def unjudged(self: Detector, now_us: int) -> Evidence:
+        offered = sum(self.rates)
+        return Evidence(offered, self.served, sum(self.rates[1:]) / max(1.0, offered), 0.0, None)
+
+    Detector._evidence = unjudged  # type: ignore[method-assign]
 
 
 def answer_twice() -> None:
--- a/ryepier/experiments/scale_fail.py
+++ b/ryepier/experiments/scale_fail.py
@@ -207,7 +207,7 @@
 
 
 def perform(seed: int, scale: Scale, folder: Path, plant: str) -> tuple[list[Claim], Mapping[str, float]]:
-    """Raises hollow.NotSpared."""
+    """Raises hollow.InsufficientResourcesError."""
     hollow.check(needs(scale), hollow.this_machine())
     found = {"load_average": os.getloadavg()[0]} | asyncio.run(play(seed, scale, plant))
     found |= calculated(found, scale)
--- a/ryepier/experiments/scale_list.py
+++ b/ryepier/experiments/scale_list.py
@@ -333,7 +333,7 @@
 
 
 def perform(seed: int, scale: Scale, folder: Path, plant: str) -> tuple[list[Claim], Mapping[str, float]]:
-    """Both parts. Raises hollow.NotSpared."""
+    """Both parts. Raises hollow.InsufficientResourcesError."""
     hollow.check(needs(scale), hollow.this_machine())
     busy = {"load_average": os.getloadavg()[0]}
     rows = asyncio.run(by_known(seed, scale, plant))
--- a/ryepier/fronts/graphql.py
+++ b/ryepier/fronts/graphql.py
@@ -18,8 +18,8 @@
     IDENT,
     Catalogue,
     Dialect,
-    Reject,
     Reply,
+    RequestError,
     Server,
     Tenants,
     read_headers,
@@ -66,7 +66,7 @@
 NEW_IDENT_BYTES = 12  # of chance: no two requests of a fleet share one
 
 
-class GraphqlReject(Reject):
+class GraphqlRequestError(RequestError):
     """A request that is not taken, in GraphQL's words."""
 
     def __init__(self, error: GraphqlError, answer_type: str) -> None:
@@ -102,14 +102,14 @@
         self.tenants = Tenants(settings)
 
     def call(self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> Call:
-        """Raises Reject."""
+        """Raises RequestError."""
         found = read_headers(headers, SINGLE_HEADERS)
         answer_type = RESPONSE_TYPE
         try:
             answer_type = response_type(found.get(b"accept", b"").decode("latin-1"))
             asked = self._ask(method, target, found, body)
         except GraphqlError as error:
-            raise GraphqlReject(error, answer_type) from None
+            raise GraphqlRequestError(error, answer_type) from None
         return self._call(target, headers, found, asked, answer_type)
 
     def _ask(self, method: bytes, target: bytes, found: dict[bytes, bytes], body: bytes) -> Asked:
@@ -139,7 +139,7 @@
         kind = self.settings.classes[index]
         ident = found.get(b"x-request-id") or os.urandom(NEW_IDENT_BYTES).hex().encode()
         if not IDENT.fullmatch(ident):
-            raise Reject(400, "no X-Request-Id that can be used")
+            raise RequestError(400, "no X-Request-Id that can be used")
         asked_us = 1000 * whole_number(found[b"x-deadline-ms"], "X-Deadline-Ms") if b"x-deadline-ms" in found else 0
         cost, key = found.get(b"x-cost-hint"), found.get(b"x-key")
         onward = [(name, value) for name, value in headers if name.lower() not in OWN_HEADERS]
@@ -178,9 +178,9 @@
         harmless = self.settings.classes[call.class_index].effect == "idempotent"
         return 500, answers.failed(harmless), head
 
-    def rejected(self, target: bytes, reject: Reject) -> Reply:
-        if not isinstance(reject, GraphqlReject):
-            reject = GraphqlReject(GraphqlError(reject.status, "BAD_REQUEST", str(reject)), RESPONSE_TYPE)
+    def rejected(self, target: bytes, reject: RequestError) -> Reply:
+        if not isinstance(reject, GraphqlRequestError):
+            reject = GraphqlRequestError(GraphqlError(reject.status, "BAD_REQUEST", str(reject)), RESPONSE_TYPE)
         head = f"Content-Type: {reject.answer_type}\r\n"
         if reject.allow:
             head += f"Allow: {reject.allow}\r\n"
@@ -204,7 +204,7 @@
     def answer(self, call: Call, answer: Answer) -> Reply:
         return (self.graphql if call.answer_type else self.plain).answer(call, answer)
 
-    def rejected(self, target: bytes, reject: Reject) -> Reply:
+    def rejected(self, target: bytes, reject: RequestError) -> Reply:
         return self.of(target).rejected(target, reject)
 
 
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -73,7 +73,7 @@
 Reply = tuple[int, bytes, bytes]  # status, body, and header lines of its own, each with its end
 
 
-class Reject(Exception):
+class RequestError(Exception):
     """Input that is not taken: it is answered with this status, and the connection closed, unless it was sound HTTP
     and only its content was not."""
 
@@ -87,12 +87,12 @@
     """How the requests on a front are read, and how their answers are worded; it decides nothing of where they go."""
 
     def call(self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> Call:
-        """What a request asks for. Raises Reject."""
+        """What a request asks for. Raises RequestError."""
 
     def answer(self, call: Call, answer: Answer) -> Reply:
         """The final answer to a request that was taken."""
 
-    def rejected(self, target: bytes, reject: Reject) -> Reply:
+    def rejected(self, target: bytes, reject: RequestError) -> Reply:
         """The answer to one that was not; `target` as far as it was read."""
 
 
@@ -103,19 +103,19 @@
 
 def whole_number(text: bytes, what: str) -> int:
     if not text.isdigit() or len(text) > MOST_DIGITS:
-        raise Reject(400, f"{what} is no whole number")
+        raise RequestError(400, f"{what} is no whole number")
     return int(text)
 
 
 def read_headers(headers: list[tuple[bytes, bytes]], single: frozenset[bytes]) -> dict[bytes, bytes]:
-    """By name in small letters; of those that may come twice the last. Raises Reject."""
+    """By name in small letters; of those that may come twice the last. Raises RequestError."""
     found: dict[bytes, bytes] = {}
     for name, value in headers:
         name = name.lower()
         if name in found and name in single:
-            raise Reject(400, "a header is repeated")
+            raise RequestError(400, "a header is repeated")
         if not (NAME if name in NAMING_HEADERS else VALUE).fullmatch(value):
-            raise Reject(400, "a header's value is not plain text")
+            raise RequestError(400, "a header's value is not plain text")
         found[name] = value.strip()
     return found
 
@@ -158,19 +158,19 @@
         name = path[1:].split(b"/")[0]
         index = self.classes.get(name) if path.startswith(b"/") and b"#" not in target else None
         if index is None or self.classes.get(found.get(b"x-class", b"")) != index:
-            raise Reject(404, "unknown class")
+            raise RequestError(404, "unknown class")
         if not IDENT.fullmatch(found.get(b"x-request-id", b"")):
-            raise Reject(400, "no X-Request-Id")
+            raise RequestError(400, "no X-Request-Id")
         kind = self.settings.classes[index]
         if method != (b"GET" if kind.effect == "idempotent" else b"POST"):
-            raise Reject(400, "not the method of this class")
+            raise RequestError(400, "not the method of this class")
         if method == b"GET" and body:
-            raise Reject(400, "a GET has no body")
+            raise RequestError(400, "a GET has no body")
         if kind.effect == "deduplicated":
             if not IDENT.fullmatch(found.get(b"idempotency-key", b"")):
-                raise Reject(400, "no Idempotency-Key")
+                raise RequestError(400, "no Idempotency-Key")
         elif b"idempotency-key" in found:
-            raise Reject(400, "an Idempotency-Key, but not for this class")
+            raise RequestError(400, "an Idempotency-Key, but not for this class")
         key = found.get(b"x-key")
         cost = found.get(b"x-cost-hint")
         deadline_us = 1000 * whole_number(found.get(b"x-deadline-ms", b""), "X-Deadline-Ms")
@@ -198,7 +198,7 @@
         return 500, b"", b""
 
     @staticmethod
-    def rejected(target: bytes, reject: Reject) -> Reply:
+    def rejected(target: bytes, reject: RequestError) -> Reply:
         return reject.status, str(reject).encode() + b"\n", b""
 
 
@@ -316,9 +316,9 @@
         plain = name.lower()
         if plain == b"transfer-encoding":
             # hazard: who goes by it and who goes by the length see the next request begin at different places
-            raise Reject(400, "no chunked requests")
+            raise RequestError(400, "no chunked requests")
         if plain == b"content-length" and int(value) > LONGEST_BODY:
-            raise Reject(413, "the body is too long")  # hazard: 60 MB would be read for nothing
+            raise RequestError(413, "the body is too long")  # hazard: 60 MB would be read for nothing
         self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -350,7 +350,7 @@
             self.feed(data)
             if self.whole:
                 self.take()
-        except Reject as reject:
+        except RequestError as reject:
             self.write(*self.server.dialect.rejected(self.target, reject), last=not reject.keeps)
         except Exception:
             # hazard: a fault with one request must end neither the process nor other requests
@@ -363,19 +363,19 @@
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
-            raise cause if isinstance(cause, Reject) else error from None
+            raise cause if isinstance(cause, RequestError) else error from None
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # hazard: what follows a whole request and is no request shows that its length was wrong
-            raise Reject(400, "malformed request") from None
+            raise RequestError(400, "malformed request") from None
         if not self.head_done and self.size > LONGEST_HEAD:
-            raise Reject(413, "the head is too long")  # hazard: one without end would fill the memory
+            raise RequestError(413, "the head is too long")  # hazard: one without end would fill the memory
 
     def take(self) -> None:
         """The request has come whole."""
         assert self.transport is not None and self.parser is not None
         method = self.parser.get_method()
         if self.parser.get_http_version() not in ("1.0", "1.1"):
-            raise Reject(400, "not HTTP/1.1")
+            raise RequestError(400, "not HTTP/1.1")
         if not self.parser.should_keep_alive():
             self.last = True
         target, headers, body = self.target, self.headers, bytes(self.body)
@@ -385,9 +385,9 @@
         call = self.call = self.server.dialect.call(method, target, headers, body)
         if not self.server.seen.add(call.ident):
             # hazard: an upstream that has it already turns it away; its answer might go to the wrong client
-            raise Reject(409, "this X-Request-Id has been used")
+            raise RequestError(409, "this X-Request-Id has been used")
         if self.transport.get_write_buffer_size() > 0:
-            raise Reject(400, "the last answer was not read")  # hazard: unread answers would fill the memory
+            raise RequestError(400, "the last answer was not read")  # hazard: unread answers would fill the memory
         self.server.move(self, State.OPEN)
         call.left = self.left
         self.ident = self.server.host.arrived(call, self.answer)
--- a/ryepier/sim/run.py
+++ b/ryepier/sim/run.py
@@ -10,7 +10,7 @@
 from typing import Any, TypeVar, cast
 
 from ryepier.sidecar import system
-from ryepier.sim.loop import Stuck, VirtualLoop
+from ryepier.sim.loop import StuckError, VirtualLoop
 from ryepier.sim.network import Address, Factory, Network, SimServer, SimSocket, SimTransport
 from ryepier.sim.process import OWNER, Clocks, Frozen
 
@@ -192,7 +192,7 @@
 
 
 def simulate(seed: int, main: Callable[[SimLoop], Awaitable[T]]) -> T:
-    """Run to its end what `main` makes. Raises whatever it raises, Stuck where it never ends, and SimulationError
+    """Run to its end what `main` makes. Raises whatever it raises, StuckError where it never ends, and SimulationError
     where a callback or a task failed that nobody waited for."""
     loop = SimLoop(seed)
     before = system.monotonic_ns, system.unix_ns, system.tcp_socket, system.listen
@@ -210,7 +210,7 @@
         system.monotonic_ns, system.unix_ns, system.tcp_socket, system.listen = before
         for task in asyncio.all_tasks(loop):
             task.cancel()
-        with contextlib.suppress(Stuck):
+        with contextlib.suppress(StuckError):
             loop.run_until_complete(asyncio.sleep(0))
         asyncio.set_event_loop(None)
         loop.close()
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Mapping
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
@@ -27,7 +28,7 @@
     return msgspec.convert({"name": name, "seed": seed, "scale": "full", "figures": figures} | values, Kept)
 
 
-def a_row(budget: float = 200.0, mechanism: str = "watch", experiment: str = "scale-x", **more: object) -> Row:
+def a_row(budget: float = 200.0, mechanism: str = "watch", experiment: str = "scale-x", **more: Any) -> Row:
     return Row(
         role="Sidecar",
         what="CPU",
@@ -38,7 +39,7 @@
         slope_unit="ms a converter",
         budget=lambda plan: budget,
         **more,
-    )  # type: ignore[arg-type]
+    )
 
 
 def test_a_row_is_its_line_at_the_size() -> None:
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -14,7 +14,7 @@
 import pytest
 
 from ryepier.sidecar import system
-from ryepier.sim.loop import Stuck
+from ryepier.sim.loop import StuckError
 from ryepier.sim.network import WINDOW
 from ryepier.sim.process import OWNER
 from ryepier.sim.run import SimLoop, SimulationError, simulate
@@ -173,9 +173,9 @@
         loop.call_later(1, lambda: 1 // 0)
         await asyncio.sleep(2)
 
-    with pytest.raises(Stuck, match="nothing is due"):
+    with pytest.raises(StuckError, match="nothing is due"):
         simulate(1, nothing_due)
-    with pytest.raises(Stuck, match="does not end.*again"):
+    with pytest.raises(StuckError, match="does not end.*again"):
         simulate(1, one_instant)
     with pytest.raises(SimulationError, match=r"1.000000 s.*ZeroDivisionError"):
         simulate(1, fails)
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -15,7 +15,7 @@
 from ryepier.commands import experiment
 from ryepier.experiments import hollow, slopes
 from ryepier.experiments.contract import Measured
-from ryepier.experiments.hollow import Machine, Needs, NotSpared
+from ryepier.experiments.hollow import InsufficientResourcesError, Machine, Needs
 
 SIZES = (30, 150, 400, 800, 1600)
 GB = 10**9
@@ -84,7 +84,7 @@
     ],
 )
 def test_what_the_machine_cannot_spare_is_refused(needs: Needs, machine: Machine, why: str) -> None:
-    with pytest.raises(NotSpared, match=why):
+    with pytest.raises(InsufficientResourcesError, match=why):
         hollow.check(needs, machine)
 
 
@@ -94,7 +94,7 @@
 
 def test_an_experiment_that_asks_too_much_is_misuse(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
     def ask(*_: object) -> NoReturn:
-        raise NotSpared("9 processes asked for, at most 8 may be")
+        raise InsufficientResourcesError("9 processes asked for, at most 8 may be")
 
     monkeypatch.setitem(experiment.ALL, "planner-scale", Measured("planner-scale", "", ask, ()))
     got = CliRunner().invoke(main, ["experiment", "run", "planner-scale", "--out", str(tmp_path)])
