--- a/ryepier/balancer/balancer.py
+++ b/ryepier/balancer/balancer.py
@@ -10,7 +10,7 @@
 
 from ryepier.balancer import interface as api
 
-MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
+MAX_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
 ANSWERED = (api.Outcome.OK, api.Outcome.SPOILT)  # it has done the work, and its time tells of its load
@@ -19,68 +19,69 @@
 FAULT_MEMORY = 4  # attempts that make up an upstream's share of faults
 FAULT_SHARE = 0.35  # two faults in three attempts, where all is well; more is by chance where all fail a part
 FLEET_MEMORY = 64  # attempts that make up the share of faults at all upstreams together
-FAULTS_ALIKE = 2  # times that share is what chance adds to an upstream's own, smoothed over so few attempts
-MOST_ALIKE = 1 / 3  # adds no more, so that four faults in a row tell, however many upstreams fail
-SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
-GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
-FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
+FLEET_FAULT_FACTOR = 2  # times that share is what chance adds to an upstream's own, over so few attempts
+MAX_FLEET_FAULT_ALLOWANCE = 1 / 3  # adds no more, so that four faults in a row tell, however many fail
+MIN_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
+WINDOW_GROWTH = 0.4  # slots a round of answers moves, by the distance from the target load; 0.8 is too rash
+TARGET_LOAD = 0.7  # of the slow time, where slots settle: more lets upstreams choke, less refuses early
 TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
-COLD_CARE = 1.3  # a cold upstream that is slow gets so many times less than its sure part
-MOST_COLD_ROOM = 0.5  # of the overload that pushes a cold one over; the rest is for lumps
-MOST_SAVED = 0.5  # of a request that a cold upstream may still get for what it has waited for
-SHORTEST_USUAL = 0.2  # of the warm-up's time, as smoothed: what was seen for less counts as if for so long
-COLD_GAIN = 0.5  # a cold one's answer moves their part by this, by the distance from the full load
-HEAVIEST_COLD = 4.0  # times the usual cost: what costs more goes to warm ones, where there are any
-SMALLEST_SUBSET = 4  # upstreams whose slots are open to a sidecar with next to no traffic
-A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
-SLOWEST_PACE = 4.0  # an answer that takes longer beside the usual one counts as this
-PACE_MEMORY = 4  # answers that make up an upstream's pace
+COLD_SAFETY_FACTOR = 1.3  # a cold upstream that is slow gets so many times less than its sure share
+MAX_COLD_OVERCOMMIT = 0.5  # of the overload that pushes a cold one over; the rest is for lumps
+MAX_SLOW_START_CREDIT = 0.5  # of a request that a cold upstream may still get for what it has waited for
+MIN_USUAL_WEIGHT = 0.2  # of the warm-up's time, as smoothed: what was seen for less counts as if for so long
+COLD_GAIN = 0.5  # a cold one's answer moves their share by this, by the distance from the target load
+MAX_COLD_COST = 4.0  # times the usual cost: what costs more goes to warm ones, where there are any
+MIN_SUBSET_SIZE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
+SENDS_PER_SUBSET_MEMBER = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
+MAX_LATENCY_RATIO = 4.0  # an answer that takes longer beside the usual one counts as this
+LATENCY_RATIO_MEMORY = 4  # answers that make up an upstream's latency ratio
 OVERTAKEN = 4  # later sends answered before it tell an attempt that is lost from one that waits its turn
-SILENCE_MEMORY = 16  # attempts of a class that make up the share of them that an upstream leaves unanswered
-SILENCE_BORNE = 0.1  # at this share it is drawn a quarter as often: far more than is late by chance
-TURNED_BORNE = 0.1  # share of a class turned away at which it is drawn half as often: it costs a reissue
-MOST_ROOM = 8  # requests turned away in a row, after quick answers, that tell a full upstream all the same
-MUTE = 3  # attempts of a class unanswered in a row from which on it rests there between sends
-LONGEST_MUTE = 5  # as if so many
-MOST_MUTE = 2 / 3  # hazard: with more upstreams than this resting the fleet is slow, and none rests
-MOST_PLANNED = 0.5  # hazard: a plan that rests more upstreams than this is wrong, and none rests by it
-ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
-LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
-SOONEST = 0.1  # of a storm's window: nobody comes back sooner
-A_SECOND_US = 1_000_000
-LATER_WORTH = 0.5  # in a storm each try counts half of the one before: first ones go first
+UNANSWERED_MEMORY = 16  # attempts of a class that make up the share that an upstream leaves unanswered
+UNANSWERED_TOLERANCE = 0.1  # at this share it is drawn a quarter as often: far more than is late by chance
+REJECTION_TOLERANCE = 0.1  # share of a class rejected at which it is drawn half as often: costs a reissue
+MAX_QUEUE_HEADROOM = 8  # rejections in a row, after quick answers, that tell a full upstream all the same
+EJECTION_TIMEOUT_STREAK = 3  # attempts of a class unanswered in a row: from here on ejected between sends
+MAX_TIMEOUT_STREAK = 5  # as if so many
+MAX_EJECTED_SHARE = 2 / 3  # hazard: with more ejected than this the fleet is slow, and none is ejected
+MAX_PLANNED_EJECTED_SHARE = 0.5  # hazard: a plan that ejects more is wrong, and none is ejected by it
+ADMISSION_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
+MIN_ADMISSION_RATE = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
+MIN_RETRY_AFTER_SHARE = 0.1  # of a storm's window: nobody comes back sooner
+SECOND_US = 1_000_000
+RETRY_WORTH = 0.5  # in a storm each try counts half of the one before: first ones go first
 RATE_MEMORY_US = 5_000_000
-SURGE_MEMORY_US = 500_000  # a start or a surge is known within it; shorter, a light sidecar would seem busy
-RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
-MOST_RETRIES = 5.0  # reissues in hand after a calm spell
-LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
-CALL_GAP_US = 50_000  # between the fleet's calls at first: twenty a second
-FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
+BURST_MEMORY_US = 500_000  # a start or a burst is known within it; shorter, a light sidecar would seem busy
+RETRY_BUDGET_RATIO = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
+MAX_RETRY_BUDGET = 5.0  # reissues in hand after a calm spell
+LOG_INTERVAL_US = 1_000_000  # a line a second at most, however many upstreams change
+LIST_CALL_INTERVAL_US = 50_000  # between the fleet's calls at first: twenty a second
+FIRST_LIST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
 TOLD_US = 6_000_000  # a change counts as told so long after discovery had it and could be reached (protocol)
-TURN_US = 2_000_000  # of these, left to a call to wait for its turn at discovery and to be answered
+LIST_CALL_US = 2_000_000  # of these, left to a call to wait for its turn at discovery and to be answered
 
 
 class Pool:
     """Upstreams thinned together: all, or, where crossing zones costs, this zone's and the others'."""
 
     def __init__(self, now_us: int) -> None:
-        self.admitted = 1.0  # part of the draws that may take a slot: falls while answers are slow all over
-        self.credit = 1.0  # draws admitted and not yet used
+        # share of the draws that may take a slot: falls while answers are slow all over
+        self.admission_rate = 1.0
+        self.admission_credit = 1.0  # draws admitted and not yet used
         self.load = 0.0  # its answers' times of late: 1 = half the aim
         self.cold: list[Server] = []
         self.warm_size = 0.0  # of the others together
         # answers a second that this sidecar sees for a warm one of size 1, and a tenth of those admitted:
-        self.part = 0.0  # of late
-        self.usual_part = 0.0  # as long as an upstream takes to warm
+        self.warm_throughput = 0.0  # of late
+        self.usual_warm_throughput = 0.0  # as long as an upstream takes to warm
         self.usual_weight = 0.0  # how much of that time it has seen, as it was smoothed
-        self.parted_us = now_us
+        self.warm_throughput_updated_us = now_us
         # the upstreams whose slots are open, in the order of their coming; the others' are closed till needed
         self.subset: dict[Server, None] = {}
-        self.rate = 0.0  # sends a second, of late
-        self.surge = 0.0  # the same, of the last moments only
-        self.faults = 0.0  # share of all attempts that failed at once or spoilt, smoothed
-        self.rated_us = now_us
-        self.cold_room = 1.0  # cold ones get so many times what they surely can do
+        self.send_rate = 0.0  # sends a second, of late
+        self.burst_rate = 0.0  # the same, of the last moments only
+        self.fault_share = 0.0  # share of all attempts that failed at once or spoilt, smoothed
+        self.rates_updated_us = now_us
+        self.cold_overcommit = 1.0  # cold ones get so many times what they surely can do
 
 
 class Server:
@@ -89,22 +90,22 @@
     def __init__(self, entry: api.Upstream, pool: Pool, classes: int) -> None:
         self.entry = entry
         self.pool = pool
-        self.used = 0  # slots taken by this sidecar's sends
-        self.out: list[Attempt] = []  # its attempts that have not ended, in the order of their sends
+        self.slots_in_use = 0  # slots taken by this sidecar's sends
+        self.outstanding: list[Attempt] = []  # its attempts that have not ended, in the order of their sends
         # by class, as an upstream may be well for all but some: the share of attempts that had no answer in
-        # time, smoothed; how many of late in a row; and till when the class rests there
-        self.silence = [0.0] * classes
-        self.mute = [0] * classes
-        self.mute_until_us = [0] * classes
-        self.turned = [0.0] * classes  # by class: the share of attempts that it turned away, smoothed
-        self.room = 0  # quick answers of late, less the slow ones and what it turned away
-        self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
-        self.rest_until_us = 0
-        self.turn = 0.0  # while it is cold: requests that it may get; below 0 it waits
-        self.pace = 1.0  # time of its answers beside those of the others, smoothed
-        self.slow_start = False  # its slots open fast until its first slow answer or fault
-        self.faults = 0.0  # share of its attempts that failed at once or spoilt, smoothed
-        self.rests = False  # as last logged
+        # time, smoothed; how many of late in a row; and until when it is ejected for the class
+        self.unanswered_share = [0.0] * classes
+        self.timeout_streak = [0] * classes
+        self.timeout_ejected_until_us = [0] * classes
+        self.rejection_share = [0.0] * classes  # by class: the share that it turned away, smoothed
+        self.queue_headroom = 0  # quick answers of late, less the slow ones and what it turned away
+        self.window = 1.0  # slots open while it is well; below 1 it is ejected between sends
+        self.ejected_until_us = 0
+        self.slow_start_credit = 0.0  # while it is cold: requests that it may get; below 0 it waits
+        self.latency_ratio = 1.0  # time of its answers beside those of the others, smoothed
+        self.growing_fast = False  # its slots open fast until its first slow answer or fault
+        self.fault_share = 0.0  # share of its attempts that failed at once or spoilt, smoothed
+        self.logged_ejected = False  # as last logged
         self.advice = api.Advice(entry.id)  # of the plan in force; this one changes nothing
 
 
@@ -115,8 +116,8 @@
         self.class_index = class_index
         self.sent_us = now_us
         self.overtaken = 0  # answers of its upstream to what was sent later
-        self.passed = False  # one of these was to its own class
-        self.silent = False  # it has had no answer for longer than one takes
+        self.overtaken_in_class = False  # one of these was to its own class
+        self.overdue = False  # it has had no answer for longer than one takes
         self.lost = False  # and holds no slot any more
         self.ended: api.Outcome | None = None  # None while it is out
 
@@ -128,7 +129,7 @@
         self.attempts: list[Attempt] = []
         self.done = self.streaming = False
 
-    def out(self) -> int:
+    def outstanding(self) -> int:
         return sum(1 for attempt in self.attempts if attempt.ended is None)
 
     def first_that_may_have_run(self) -> Attempt | None:
@@ -144,23 +145,24 @@
         self.servers: dict[int, Server] = {}  # the ready ones, in the order listed
         self.requests: dict[int, Request] = {}
         self.buffer: Request | None = None
-        self.mean_us = [c.aim_us / 4 for c in settings.classes]  # of each class's answers; at first a guess
+        self.mean_latency_us = [c.aim_us / 4 for c in settings.classes]  # by class; at first a guess
         self.mean_cost_us = 0.0  # of requests that tell theirs,
         self.costs_seen = 0  # and how many of late have
         self.pools = [Pool(now_us), Pool(now_us)]  # drawn from in this order; the second may stay empty
-        self.usual_us = max(settings.warm_up_us, RATE_MEMORY_US)
-        self.retries = MOST_RETRIES  # reissues in hand
-        self.short_us = 0  # when a request last found no free slot; it tells of a shortage for two aims
-        self.short_for_us = 2 * max(c.aim_us for c in settings.classes)
+        self.usual_memory_us = max(settings.warm_up_us, RATE_MEMORY_US)
+        self.retry_budget = MAX_RETRY_BUDGET  # reissues in hand
+        self.last_shortage_us = 0  # when a request last found no free slot; tells of a shortage for two aims
+        self.shortage_memory_us = 2 * max(c.aim_us for c in settings.classes)
         self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
         self.tenant_seen = [0.0 for _ in settings.tenants]  # arrivals of each, the old ones fading
-        self.unsent = 0.0  # share of arrivals that found no free slot, the old ones fading
+        self.unsent_share = 0.0  # share of arrivals that found no free slot, the old ones fading
         self.overloaded = False  # as last logged: from a fifth unsent until one in fifty
         self.next_log_us = now_us
         self.wakeups: list[tuple[int, str, int, int]] = []  # (when, what, request, attempt); a heap
-        self.planned_rests = False  # whether the plan's rests are kept
+        self.planned_ejections_apply = False  # whether the plan's ejections are carried out
         self.class_admit: list[float] = []  # as planned; empty = all are let in
-        self.credits: dict[tuple[str, int], float] = {}  # by kind, part of an arrival let in and not come
+        # by kind, share of an arrival let in and not come
+        self.admission_credits: dict[tuple[str, int], float] = {}
         self.storm = api.StormUpdated()  # as last told; this one damps nothing
         self.tenant_worth: list[float] = []  # as planned; empty = judged by what is seen here
         self.armed_us = self.list_failures = 0  # armed: the next timer already asked for; 0 = none
@@ -204,15 +206,15 @@
         if event.cost_us > 0:
             # a few cost many times what the others do: one of them must not move what is usual
             self.costs_seen = min(self.costs_seen + 1, TENANT_MEMORY)
-            cost_us = min(event.cost_us, HEAVIEST_COLD * (self.mean_cost_us or event.cost_us))
+            cost_us = min(event.cost_us, MAX_COLD_COST * (self.mean_cost_us or event.cost_us))
             self.mean_cost_us += (cost_us - self.mean_cost_us) / self.costs_seen
         if self.admits(event):
             self.place(request)
         else:
             self.note_demand()  # hazard: cold ones open with what is asked of them, and would stay shut
             self.finish(request)
-        self.unsent += (float(not request.attempts) - self.unsent) / TENANT_MEMORY
-        over = self.unsent > (0.02 if self.overloaded else 0.2)
+        self.unsent_share += (float(not request.attempts) - self.unsent_share) / TENANT_MEMORY
+        over = self.unsent_share > (0.02 if self.overloaded else 0.2)
         if over != self.overloaded and self.log("overload begins" if over else "overload ends"):
             self.overloaded = over
 
@@ -220,25 +222,25 @@
         """Whether a class's limit over all sidecars, as planned, and in a storm the share of later tries let
         this one in. First tries are never turned away for a storm."""
         index, storm = event.class_index, self.storm
-        if index < len(self.class_admit) and not self.lets_in("class", index, self.class_admit[index]):
+        if index < len(self.class_admit) and not self.admits_share("class", index, self.class_admit[index]):
             return False
         if not storm.active or event.tries == 0:
             return True
         share = storm.admit[min(event.tries, len(storm.admit) - 1)] if storm.admit else 1.0
         if event.tenant < len(storm.tenant_admit):
             share *= storm.tenant_admit[event.tenant]
-        return self.lets_in("try", event.tenant, share)
+        return self.admits_share("try", event.tenant, share)
 
-    def lets_in(self, kind: str, index: int, share: float) -> bool:
+    def admits_share(self, kind: str, index: int, share: float) -> bool:
         """Whether one more of a kind is within the share of them that may come: evenly, not by chance."""
-        credit = self.credits.get((kind, index), 0.0) + share
-        self.credits[kind, index] = credit - float(credit >= 1.0)
+        credit = self.admission_credits.get((kind, index), 0.0) + share
+        self.admission_credits[kind, index] = credit - float(credit >= 1.0)
         return credit >= 1.0
 
     def log(self, text: str) -> bool:
         if self.now_us < self.next_log_us:
             return False  # the change is told later, if it lasts
-        self.next_log_us = self.now_us + LOG_GAP_US
+        self.next_log_us = self.now_us + LOG_INTERVAL_US
         self.actions.append(api.Log(text))
         return True
 
@@ -252,7 +254,7 @@
         if server is not None:
             self.send(request, server)
             return
-        self.short_us = self.now_us
+        self.last_shortage_us = self.now_us
         if self.may_send(request) and (self.buffer is None or self.value(request) > self.value(self.buffer)):
             # hazard: in a shortage the bulk of cheap requests would keep the dear ones out of every slot
             if self.buffer is not None:
@@ -265,15 +267,16 @@
 
     def note_demand(self) -> None:
         for pool in self.pools:
-            pool.credit = min(pool.credit + pool.admitted, 2.0)
-            self.advance_turns(pool, 0.1 * pool.admitted)  # if all are cold, nothing else opens them
+            pool.admission_credit = min(pool.admission_credit + pool.admission_rate, 2.0)
+            # if all are cold, nothing else opens them
+            self.add_slow_start_credit(pool, 0.1 * pool.admission_rate)
 
     def value(self, request: Request) -> float:
         """The worth of a slot's time given to this request; what is beyond its tenant's share counts less.
         Without a plan the share is judged among the tenants seen here: a sidecar knows no total rates."""
         s, worth = self.settings, self.class_of(request).worth
         if not s.worth_by_work:
-            worth /= self.mean_us[request.event.class_index]
+            worth /= self.mean_latency_us[request.event.class_index]
         if request.event.tenant < len(self.tenant_worth):
             worth *= s.over_share_worth + (1.0 - s.over_share_worth) * self.tenant_worth[request.event.tenant]
         elif request.event.tenant < len(s.tenants):
@@ -282,7 +285,7 @@
             worth *= s.over_share_worth + (1.0 - s.over_share_worth) * min(1.0, allowed / seen)
         elif s.tenants:  # a tenant that is not known has no share
             worth *= s.over_share_worth
-        return worth * LATER_WORTH**request.event.tries if self.storm.active else worth
+        return worth * RETRY_WORTH**request.event.tries if self.storm.active else worth
 
     def class_of(self, request: Request) -> api.RequestClass:
         return self.settings.classes[request.event.class_index]
@@ -300,7 +303,9 @@
     def latest_start_us(self, request: Request) -> int:
         """An attempt that starts later is not expected back in time to be of use. Hazard: after an outage
         that every answer outlasted, nothing would be tried again; so at most half the aim is left for it."""
-        answer_us = min(self.mean_us[request.event.class_index], self.half_aim_us(request.event.class_index))
+        answer_us = min(
+            self.mean_latency_us[request.event.class_index], self.half_aim_us(request.event.class_index)
+        )
         return self.useful_until_us(request) - int(answer_us)
 
     def fill_from_buffer(self) -> None:
@@ -328,29 +333,29 @@
         lest refused clients return together."""
         storm, longest_us = self.storm, self.settings.max_retry_after_us
         if not storm.active or not storm.wait_us:
-            after_us = self.mean_us[request.event.class_index] * (0.5 + self.random.random())
+            after_us = self.mean_latency_us[request.event.class_index] * (0.5 + self.random.random())
             return int(min(after_us, longest_us))
         # hazard: cold ones open with what is asked of them; who is told to stay away for long asks less, and
         # they would open later: so this refusal stands for one more, as the usual advice would have brought
         self.note_demand()
         window_us = storm.wait_us[min(request.event.tries, len(storm.wait_us) - 1)]
-        if storm.whole_seconds and longest_us >= A_SECOND_US:
+        if storm.whole_seconds and longest_us >= SECOND_US:
             # hazard: rounded, all of one second's refusals would come back in the same moment
-            most = min(longest_us, max(window_us, 2 * A_SECOND_US)) // A_SECOND_US
-            return A_SECOND_US * self.random.randint(1, most)
-        return int(min(window_us * self.random.uniform(SOONEST, 1), longest_us))
+            most = min(longest_us, max(window_us, 2 * SECOND_US)) // SECOND_US
+            return SECOND_US * self.random.randint(1, most)
+        return int(min(window_us * self.random.uniform(MIN_RETRY_AFTER_SHARE, 1), longest_us))
 
     def close(self, request: Request) -> None:
         request.done = True
         if self.buffer is request:
             self.buffer = None
-        if request.out() == 0:
+        if request.outstanding() == 0:
             self.requests.pop(request.event.request, None)
 
     def open_slots(self, server: Server) -> int:
         """How many of this sidecar's sends an upstream may have now; the one place where health lives."""
         cold = self.warmth(server) < 1.0
-        if self.now_us < server.rest_until_us or (cold and server.turn < 0.0):
+        if self.now_us < server.ejected_until_us or (cold and server.slow_start_credit < 0.0):
             return 0
         slots = 1 if cold else max(1, int(server.window))
         return min(slots, server.advice.most_slots) if server.advice.most_slots > 0 else slots
@@ -362,58 +367,63 @@
         # hazard: what spoils answers and breaks connections may do so on all upstreams alike, and one such
         # fault would shut each of them; only turning work away tells at once of the upstream itself
         fault = outcome in INSTANT_FAULTS or outcome is api.Outcome.SPOILT
-        server.faults += (float(fault) - server.faults) / FAULT_MEMORY
-        pool.faults += (float(fault) - pool.faults) / FLEET_MEMORY
-        alike = min(FAULTS_ALIKE * pool.faults, MOST_ALIKE)
-        faulty = outcome is api.Outcome.FULL or (fault and server.faults > FAULT_SHARE + alike)
+        server.fault_share += (float(fault) - server.fault_share) / FAULT_MEMORY
+        pool.fault_share += (float(fault) - pool.fault_share) / FLEET_MEMORY
+        fleet_allowance = min(FLEET_FAULT_FACTOR * pool.fault_share, MAX_FLEET_FAULT_ALLOWANCE)
+        faulty = outcome is api.Outcome.FULL or (fault and server.fault_share > FAULT_SHARE + fleet_allowance)
         if fault and not faulty and outcome is not api.Outcome.SPOILT:
             return  # and its time tells nothing
         load = min(2.0, elapsed_us / slow_us) if outcome in ANSWERED else 2.0
-        pace = SLOWEST_PACE if faulty else elapsed_us / self.mean_us[class_index]
-        server.pace += (min(max(pace, 0.1), SLOWEST_PACE) - server.pace) / PACE_MEMORY
+        latency_ratio = MAX_LATENCY_RATIO if faulty else elapsed_us / self.mean_latency_us[class_index]
+        latency_ratio = min(max(latency_ratio, 0.1), MAX_LATENCY_RATIO)
+        server.latency_ratio += (latency_ratio - server.latency_ratio) / LATENCY_RATIO_MEMORY
         cold = self.warmth(server) < 1.0
         if cold:
             # hazard: they surely can do little, and mostly far more; what they are spared chokes the others
-            most = max(1.0, MOST_COLD_ROOM * self.settings.overload_factor)
-            room = pool.cold_room * (1.0 + COLD_GAIN * (FULL_LOAD - load))
-            pool.cold_room = min(max(room, 1.0 / COLD_CARE), most)
+            most = max(1.0, MAX_COLD_OVERCOMMIT * self.settings.overload_factor)
+            overcommit = pool.cold_overcommit * (1.0 + COLD_GAIN * (TARGET_LOAD - load))
+            pool.cold_overcommit = min(max(overcommit, 1.0 / COLD_SAFETY_FACTOR), most)
         if not cold and outcome in (*ANSWERED, api.Outcome.TIMEOUT, api.Outcome.FULL):
             # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
             # are thinned, at once as queues stay for seconds, but not for one slow answer among quick ones
             pool.load += (load - pool.load) / 8
-            # hazard: by the long memory alone a start or a surge would be thinned as if answers were few
-            a_second = min(pool.rate, pool.surge) if load < FULL_LOAD else max(pool.rate, pool.surge)
-            gain = ADMIT_GAIN / max(1.0, a_second) if load < FULL_LOAD or pool.load > 0.5 else 0.0
-            pool.admitted *= max(0.3, 1.0 + gain * (FULL_LOAD - load))
-            pool.admitted = min(1.0, max(pool.admitted, LEAST_ADMITTED))
+            # hazard: by the long memory alone a start or a burst would be thinned as if answers were few
+            sends_per_s = (
+                min(pool.send_rate, pool.burst_rate)
+                if load < TARGET_LOAD
+                else max(pool.send_rate, pool.burst_rate)
+            )
+            gain = ADMISSION_GAIN / max(1.0, sends_per_s) if load < TARGET_LOAD or pool.load > 0.5 else 0.0
+            pool.admission_rate *= max(0.3, 1.0 + gain * (TARGET_LOAD - load))
+            pool.admission_rate = min(1.0, max(pool.admission_rate, MIN_ADMISSION_RATE))
         # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
-        step = GROWTH * (FULL_LOAD - load) / max(server.window, 1.0)
-        server.slow_start = server.slow_start and step > 0.0 and not faulty
-        if server.slow_start:
-            # hazard: at GROWTH a sidecar that starts in a busy hour would refuse a third of the first ones
-            step = 1.0 - load / FULL_LOAD
+        step = WINDOW_GROWTH * (TARGET_LOAD - load) / max(server.window, 1.0)
+        server.growing_fast = server.growing_fast and step > 0.0 and not faulty
+        if server.growing_fast:
+            # hazard: at WINDOW_GROWTH one that starts in a busy hour would refuse a third of the first ones
+            step = 1.0 - load / TARGET_LOAD
         if faulty:
             # hazard: what fails at once frees its slot at once and so would draw ever more
             server.window /= 2
         elif step < 0.0:
-            # hazard: after an outage all would rest for long, so slow answers leave the one slot
+            # hazard: after an outage all would be ejected for long, so slow answers leave the one slot
             server.window = max(server.window * (1.0 + step), min(server.window, 1.0))
         # hazard: slots opened without need (none for two aims), by many sidecars above all, choke bursts
-        elif server.window < 1.0 or attempt.sent_us <= self.short_us + 4 * slow_us:
+        elif server.window < 1.0 or attempt.sent_us <= self.last_shortage_us + 4 * slow_us:
             server.window += min(server.window, step)
-        server.window = min(max(server.window, SMALLEST_WINDOW), float(MOST_SLOTS))
+        server.window = min(max(server.window, MIN_WINDOW), float(MAX_SLOTS))
         if server.window < 1.0:
-            # hazard: beside answers of seconds, short rests leave a choked upstream crowded
-            busy_us = max(min(self.mean_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
-            rest_us = busy_us * (1.0 / server.window - 1.0) * (0.5 + self.random.random())
-            server.rest_until_us = self.now_us + int(rest_us)
+            # hazard: beside answers of seconds, short ejections leave a choked upstream crowded
+            busy_us = max(min(self.mean_latency_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
+            ejection_us = busy_us * (1.0 / server.window - 1.0) * (0.5 + self.random.random())
+            server.ejected_until_us = self.now_us + int(ejection_us)
         if server.window < 0.5 and server in pool.subset:
-            del pool.subset[server]  # another takes its place; it may come back when its rest is over
+            del pool.subset[server]  # another takes its place; it may come back when its ejection is over
             self.actions.append(api.CloseIdle(server.entry.id))
-        rests = server.window < (1.0 if server.rests else 0.25)
-        change = "rests" if rests else "is back"
-        if rests != server.rests and self.log(f"upstream {server.entry.id} {change}"):
-            server.rests = rests
+        ejected = server.window < (1.0 if server.logged_ejected else 0.25)
+        change = "rests" if ejected else "is back"
+        if ejected != server.logged_ejected and self.log(f"upstream {server.entry.id} {change}"):
+            server.logged_ejected = ejected
 
     def warmth(self, server: Server) -> float:
         """Rule 4: the share of its capacity that an upstream surely has. Hazard: calling it warm any sooner
@@ -428,33 +438,38 @@
         pool.cold = [server for server in listed if self.warmth(server) < 1.0]
         pool.warm_size = sum(self.size(server) for server in listed if self.warmth(server) >= 1.0)
 
-    def advance_turns(self, pool: Pool, served: float) -> None:
-        """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool,
+    def add_slow_start_credit(self, pool: Pool, served: float) -> None:
+        """Rule 4: a cold upstream gets its share, by warmth, of what this sidecar sees served by its pool,
         so that the fleet sends no more than it serves, however much is asked of it; or, where that is
         more, of what is usual. Hazard: while many are cold the few others are crowded and draws are
         thinned, so by what is served just then the cold ones would be held down with them, and as few
-        would be served for the whole warm-up. Over the fleet the usual parts add up to no more than a
+        would be served for the whole warm-up. Over the fleet the usual shares add up to no more than a
         warm one has done: they are means."""
-        since_us, pool.parted_us = self.now_us - pool.parted_us, self.now_us
+        since_us, pool.warm_throughput_updated_us = self.now_us - pool.warm_throughput_updated_us, self.now_us
         if any(self.warmth(server) >= 1.0 for server in pool.cold):
             self.count_cold(pool)
-        shares = [self.share(server) for server in pool.cold]
-        part = served / max(pool.warm_size + sum(shares), SMALLEST_WINDOW)
-        since_s = since_us / A_SECOND_US
-        usual = pool.usual_part / max(pool.usual_weight, SHORTEST_USUAL)
-        short = self.short_us > 0 and self.now_us - self.short_us <= self.short_for_us
-        turn = part + (since_s * max(0.0, usual - pool.part) if short else 0.0)
+        shares = [self.slow_start_share(server) for server in pool.cold]
+        throughput = served / max(pool.warm_size + sum(shares), MIN_WINDOW)
+        since_s = since_us / SECOND_US
+        usual_throughput = pool.usual_warm_throughput / max(pool.usual_weight, MIN_USUAL_WEIGHT)
+        short = self.last_shortage_us > 0 and self.now_us - self.last_shortage_us <= self.shortage_memory_us
+        credit = throughput + (since_s * max(0.0, usual_throughput - pool.warm_throughput) if short else 0.0)
         for server, share in zip(pool.cold, shares, strict=True):
-            # what it has waited for is made up for, by half a turn at most
-            server.turn = max(server.turn, min(server.turn + turn * share, MOST_SAVED))
-        kept, kept_long = math.exp(-since_us / RATE_MEMORY_US), math.exp(-since_us / self.usual_us)
-        pool.part = pool.part * kept + part * A_SECOND_US / RATE_MEMORY_US
-        pool.usual_part = pool.usual_part * kept_long + part * A_SECOND_US / self.usual_us
+            # what it has waited for is made up for, by half a request at most
+            server.slow_start_credit = max(
+                server.slow_start_credit,
+                min(server.slow_start_credit + credit * share, MAX_SLOW_START_CREDIT),
+            )
+        kept, kept_long = math.exp(-since_us / RATE_MEMORY_US), math.exp(-since_us / self.usual_memory_us)
+        pool.warm_throughput = pool.warm_throughput * kept + throughput * SECOND_US / RATE_MEMORY_US
+        pool.usual_warm_throughput = (
+            pool.usual_warm_throughput * kept_long + throughput * SECOND_US / self.usual_memory_us
+        )
         pool.usual_weight = 1.0 - (1.0 - pool.usual_weight) * kept_long
 
-    def share(self, server: Server) -> float:
+    def slow_start_share(self, server: Server) -> float:
         """What a cold upstream gets beside a warm one of size 1."""
-        return self.size(server) * min(1.0, self.warmth(server) * server.pool.cold_room)
+        return self.size(server) * min(1.0, self.warmth(server) * server.pool.cold_overcommit)
 
     def size(self, server: Server) -> float:
         size = server.entry.weight
@@ -468,46 +483,48 @@
         """A random free slot, at one of the few upstreams that this sidecar's traffic needs, else at any; a
         busy zone spills over only what it can't take: a request thinned or without a slot there."""
         index = request.event.class_index
-        resting = sum(1 for s in self.servers.values() if self.now_us < s.mute_until_us[index])
-        some_rest = resting <= MOST_MUTE * len(self.servers)
+        ejected = sum(1 for s in self.servers.values() if self.now_us < s.timeout_ejected_until_us[index])
+        ejection_allowed = ejected <= MAX_EJECTED_SHARE * len(self.servers)
         for pool in self.pools if self.may_send(request) else []:
             # hazard: a cold one in no sidecar's use would have to wait till all others are full, and be of no
-            # use while it warms; its part is small, and all together have to give it that. It is paced
-            # by its turns, so it is not thinned; and a heavy request would be the work of many of them
+            # use while it warms; its share is small, and all together have to give it that. It is limited
+            # by its credit, so it is not thinned; and a heavy request would be the work of many of them
             cold = {s: None for s in pool.cold if self.warmth(s) < 1.0}
-            barred = cold if self.cost(request) > HEAVIEST_COLD and len(cold) < len(self.servers) else {}
-            if pool.credit < 1.0:
-                best = self.free_slots(request, [] if barred else [*cold], some_rest)
+            barred = cold if self.cost(request) > MAX_COLD_COST and len(cold) < len(self.servers) else {}
+            if pool.admission_credit < 1.0:
+                best = self.free_slots(request, [] if barred else [*cold], ejection_allowed)
             else:
                 warm = [s for s in pool.subset if s not in cold]
-                best = self.free_slots(request, warm if barred else [*warm, *cold], some_rest)
-                if not best or len(pool.subset) < SMALLEST_SUBSET + int(pool.rate / A_SECOND_EACH):
+                best = self.free_slots(request, warm if barred else [*warm, *cold], ejection_allowed)
+                wanted = MIN_SUBSET_SIZE + int(pool.send_rate / SENDS_PER_SUBSET_MEMBER)
+                if not best or len(pool.subset) < wanted:
                     # hazard: each sidecar connected to each upstream fills their tables of connections
                     others = [
                         s
                         for s in self.servers.values()
                         if s.pool is pool and s not in pool.subset and s not in barred
                     ]
-                    best = self.free_slots(request, others, some_rest) or best
+                    best = self.free_slots(request, others, ejection_allowed) or best
             if best:
                 return self.random.choices(best, [share for _, share in best])[0][0]
         return None
 
     def free_slots(
-        self, request: Request, servers: list[Server], some_rest: bool
+        self, request: Request, servers: list[Server], ejection_allowed: bool
     ) -> list[tuple[Server, float]]:
         """The upstreams with a slot free for it, each with its slots, which count less where it is slow."""
         tried = [attempt.server for attempt in request.attempts]
         index, bound = request.event.class_index, self.bound_to(request)
         found = []
         for server in servers:
-            slots = self.open_slots(server) - server.used
-            rests = self.now_us < server.mute_until_us[index] and some_rest
-            rests |= server.advice.rests and self.planned_rests
-            if slots > 0 and not rests and (bound is None or self.in_group(bound, server)):
-                share = slots / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
+            slots = self.open_slots(server) - server.slots_in_use
+            ejected = self.now_us < server.timeout_ejected_until_us[index] and ejection_allowed
+            ejected |= server.advice.ejected and self.planned_ejections_apply
+            if slots > 0 and not ejected and (bound is None or self.in_group(bound, server)):
+                unanswered = 1.0 + server.unanswered_share[index] / UNANSWERED_TOLERANCE
+                share = slots / (server.latency_ratio * unanswered) ** 2
                 share *= server.advice.weight
-                found.append((server, share / (1.0 + server.turned[index] / TURNED_BORNE)))
+                found.append((server, share / (1.0 + server.rejection_share[index] / REJECTION_TOLERANCE)))
         return [pair for pair in found if pair[0] not in tried] or found
 
     def may_send(self, request: Request) -> bool:
@@ -516,7 +533,7 @@
             return False
         if len(request.attempts) >= self.settings.max_attempts:
             return False
-        if request.out() > 0 and not self.settings.second_copies:
+        if request.outstanding() > 0 and not self.settings.second_copies:
             return False
         first, kind = request.first_that_may_have_run(), self.class_of(request)
         if first is None or kind.effect == "idempotent":
@@ -537,28 +554,32 @@
     def send(self, request: Request, server: Server) -> None:
         pool = server.pool
         if self.warmth(server) < 1.0:
-            server.turn -= self.cost(request)
+            server.slow_start_credit -= self.cost(request)
         else:
-            pool.credit = max(0.0, pool.credit - 1.0)
-        server.used += 1
-        since_us, pool.rated_us = self.now_us - pool.rated_us, self.now_us
-        pool.rate = pool.rate * math.exp(-since_us / RATE_MEMORY_US) + 1_000_000 / RATE_MEMORY_US
-        pool.surge = pool.surge * math.exp(-since_us / SURGE_MEMORY_US) + 1_000_000 / SURGE_MEMORY_US
+            pool.admission_credit = max(0.0, pool.admission_credit - 1.0)
+        server.slots_in_use += 1
+        since_us, pool.rates_updated_us = self.now_us - pool.rates_updated_us, self.now_us
+        pool.send_rate = pool.send_rate * math.exp(-since_us / RATE_MEMORY_US) + 1_000_000 / RATE_MEMORY_US
+        pool.burst_rate = (
+            pool.burst_rate * math.exp(-since_us / BURST_MEMORY_US) + 1_000_000 / BURST_MEMORY_US
+        )
         pool.subset[server] = None
         # one budget for all that is sent again: in a storm a client's own retry earns none
-        earns = RETRY_SHARE if not self.storm.active or request.event.tries == 0 else 0.0
-        self.retries = min(MOST_RETRIES, self.retries + (earns if not request.attempts else -1.0))
+        earns = RETRY_BUDGET_RATIO if not self.storm.active or request.event.tries == 0 else 0.0
+        self.retry_budget = min(
+            MAX_RETRY_BUDGET, self.retry_budget + (earns if not request.attempts else -1.0)
+        )
         latest_us = self.latest_write_us(request)
         attempt = Attempt(server, request.event.class_index, self.now_us)
         request.attempts.append(attempt)
-        server.out.append(attempt)
-        silent_us = self.now_us + self.silent_after_us(attempt.class_index)
-        self.wake(silent_us, "silence", request.event.request, len(request.attempts) - 1)
+        server.outstanding.append(attempt)
+        overdue_us = self.now_us + self.overdue_after_us(attempt.class_index)
+        self.wake(overdue_us, "overdue", request.event.request, len(request.attempts) - 1)
         timeout_us = self.timeout_us(request)
         self.actions.append(api.Send(request.event.request, server.entry.id, timeout_us, latest_us))
         if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
             index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
-            after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
+            after_us = min(int(2 * self.mean_latency_us[index]), self.half_aim_us(index))
             self.wake(self.now_us + after_us, "copy", request.event.request)
 
     def latest_write_us(self, request: Request) -> int:
@@ -566,12 +587,12 @@
         first, kind = request.first_that_may_have_run(), self.class_of(request)
         return first.sent_us + kind.memory_us if first is not None and kind.effect == "deduplicated" else 0
 
-    def silent_after_us(self, class_index: int) -> int:
+    def overdue_after_us(self, class_index: int) -> int:
         """Few answers take longer than the aim, unless the upstream is slow to all. Hazard: sooner, what
         an overload makes slow would be taken for lost."""
         return self.settings.classes[class_index].aim_us
 
-    def on_silence(self, attempt: Attempt) -> None:
+    def on_overdue(self, attempt: Attempt) -> None:
         """It has had no answer for longer than one takes. Hazard: an upstream, or what lies before it, may
         never answer a part of the requests (dropped, stuck on a lock, bound for a dead shard) or all of a
         class and be well for the others: one that may not be repeated is lost there, and the time-out tells
@@ -581,32 +602,35 @@
         server, index = attempt.server, attempt.class_index
         if attempt.ended is not None or self.settings.classes[index].stream:
             return
-        attempt.silent = True
-        server.silence[index] += (1.0 - server.silence[index]) / SILENCE_MEMORY
-        if not attempt.passed:
-            server.mute[index] = min(server.mute[index] + 1, LONGEST_MUTE)
-            if server.mute[index] >= MUTE:
-                usual_us = self.silent_after_us(index) * (0.5 + self.random.random())
-                server.mute_until_us[index] = self.now_us + int(usual_us * 2 ** (server.mute[index] - 1))
+        attempt.overdue = True
+        server.unanswered_share[index] += (1.0 - server.unanswered_share[index]) / UNANSWERED_MEMORY
+        if not attempt.overtaken_in_class:
+            server.timeout_streak[index] = min(server.timeout_streak[index] + 1, MAX_TIMEOUT_STREAK)
+            if server.timeout_streak[index] >= EJECTION_TIMEOUT_STREAK:
+                usual_us = self.overdue_after_us(index) * (0.5 + self.random.random())
+                ejection_us = int(usual_us * 2 ** (server.timeout_streak[index] - 1))
+                server.timeout_ejected_until_us[index] = self.now_us + ejection_us
         self.give_up_slot(attempt)
 
-    def turned_with_room(self, attempt: Attempt, elapsed_us: int) -> bool:
-        """Whether it was turned away by an upstream that has room: what a full one takes in waits behind a
-        whole queue, so its answers are slow. Hazard: one that turns a class away, or a part of all, and is
-        quick with the rest would be taken for full and rest, and the others choke. So it keeps its slots,
-        and only the class is drawn less there. One that turns away more than it answers is full after all."""
+    def rejected_with_headroom(self, attempt: Attempt, elapsed_us: int) -> bool:
+        """Whether it was rejected by an upstream whose queue has headroom: what a full one takes in waits
+        behind a whole queue, so its answers are slow. Hazard: one that turns a class away, or a part of all,
+        and is quick with the others would be taken for full and ejected, and its peers choke. So it keeps its
+        slots, and only the class is drawn less there. One that turns away more than it answers is full after
+        all."""
         server, index = attempt.server, attempt.class_index
         if attempt.ended in ANSWERED:
-            quick = elapsed_us < FULL_LOAD * self.half_aim_us(index)
-            server.room = min(server.room + 1, MOST_ROOM) if quick else max(server.room - 1, 0)
-            server.turned[index] -= server.turned[index] / FAULT_MEMORY
+            quick = elapsed_us < TARGET_LOAD * self.half_aim_us(index)
+            headroom = server.queue_headroom
+            server.queue_headroom = min(headroom + 1, MAX_QUEUE_HEADROOM) if quick else max(headroom - 1, 0)
+            server.rejection_share[index] -= server.rejection_share[index] / FAULT_MEMORY
         if attempt.ended is not api.Outcome.FULL:
             return False
-        server.turned[index] += (1.0 - server.turned[index]) / FAULT_MEMORY
-        server.room -= 1
-        has_room = server.room >= 0
-        server.room = max(server.room, 0)
-        return has_room
+        server.rejection_share[index] += (1.0 - server.rejection_share[index]) / FAULT_MEMORY
+        server.queue_headroom -= 1
+        has_headroom = server.queue_headroom >= 0
+        server.queue_headroom = max(server.queue_headroom, 0)
+        return has_headroom
 
     def give_up_slot(self, attempt: Attempt) -> None:
         """Frees the slot of an attempt that is lost: silent for too long, while its upstream answers what was
@@ -618,23 +642,27 @@
         what was overtaken: it then gets up to twice the slots."""
         server = attempt.server
         proven = attempt.overtaken >= OVERTAKEN
-        lost = [other for other in server.out if other.lost]
-        suspected = server.pool.load < FULL_LOAD and all(other.overtaken >= OVERTAKEN for other in lost)
-        if attempt.silent and (proven or suspected) and len(lost) < max(1, int(server.window)):
+        lost = [other for other in server.outstanding if other.lost]
+        suspected = server.pool.load < TARGET_LOAD and all(other.overtaken >= OVERTAKEN for other in lost)
+        if attempt.overdue and (proven or suspected) and len(lost) < max(1, int(server.window)):
             attempt.lost = True
-            server.used -= 1
+            server.slots_in_use -= 1
 
     def timeout_us(self, request: Request) -> int:
         """As long as an answer is of use; where a repeat may follow, what the class usually takes."""
         left_us = max(1, self.useful_until_us(request) - self.now_us)
-        if self.settings.second_copies or self.class_of(request).effect == "at_most_once" or self.retries < 1:
+        if (
+            self.settings.second_copies
+            or self.class_of(request).effect == "at_most_once"
+            or self.retry_budget < 1
+        ):
             return left_us
         index, known_us = request.event.class_index, request.event.cost_us
-        return min(left_us, max(int(4 * self.mean_us[index]), self.half_aim_us(index), 4 * known_us))
+        return min(left_us, max(int(4 * self.mean_latency_us[index]), self.half_aim_us(index), 4 * known_us))
 
     def send_copy(self, request: Request) -> None:
         """The first runs on. Never in a shortage: copies would take the slots of requests that have none."""
-        if request.out() == 1 and self.buffer is None:
+        if request.outstanding() == 1 and self.buffer is None:
             server = self.draw(request)
             if server is not None and server is not request.attempts[-1].server:
                 self.send(request, server)
@@ -647,34 +675,34 @@
         attempt = attempts[0]
         attempt.ended = event.outcome
         server = attempt.server
-        server.used -= int(not attempt.lost)
-        earlier = server.out[: server.out.index(attempt)]
-        server.out.remove(attempt)
+        server.slots_in_use -= int(not attempt.lost)
+        earlier = server.outstanding[: server.outstanding.index(attempt)]
+        server.outstanding.remove(attempt)
         # hazard: what others overtook tells nothing of the load; judged by it, an upstream that leaves some
         # unanswered would be cut to one slot, and its time would be that of no answer
         lost = (attempt.lost or attempt.overtaken > 0) and event.outcome is api.Outcome.TIMEOUT
-        if not lost and not self.turned_with_room(attempt, event.elapsed_us):
+        if not lost and not self.rejected_with_headroom(attempt, event.elapsed_us):
             self.judge(attempt, event.elapsed_us, request.event.class_index)
         if event.outcome in ANSWERED:
-            self.advance_turns(server.pool, 1.0)
+            self.add_slow_start_credit(server.pool, 1.0)
             index = attempt.class_index
-            server.silence[index] -= server.silence[index] / SILENCE_MEMORY
-            server.mute[index] = server.mute_until_us[index] = 0
+            server.unanswered_share[index] -= server.unanswered_share[index] / UNANSWERED_MEMORY
+            server.timeout_streak[index] = server.timeout_ejected_until_us[index] = 0
             for other in earlier:
                 other.overtaken += 1
-                other.passed |= other.class_index == index
+                other.overtaken_in_class |= other.class_index == index
                 if not other.lost:
                     self.give_up_slot(other)
         if event.outcome in (*ANSWERED, api.Outcome.TIMEOUT) and not lost:
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
-            index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
+            index, mean_us = request.event.class_index, self.mean_latency_us[request.event.class_index]
             elapsed_us = min(event.elapsed_us, 2 * self.half_aim_us(index))
-            self.mean_us[index] = max(1.0, mean_us + (elapsed_us - mean_us) / 8)
+            self.mean_latency_us[index] = max(1.0, mean_us + (elapsed_us - mean_us) / 8)
         if event.final or request.done:
             self.close(request)
-        elif request.out() == 0:
+        elif request.outstanding() == 0:
             # hazard: when all upstreams are slow at once, time-outs double the load that keeps them slow
-            if event.outcome in REISSUED and self.may_send(request) and self.retries >= 1.0:
+            if event.outcome in REISSUED and self.may_send(request) and self.retry_budget >= 1.0:
                 self.place(request)
             else:
                 self.finish(request)
@@ -702,23 +730,23 @@
             if server is None or server.entry.started_us != entry.started_us:
                 server = self.start_over(entry, pool)
                 started.append(server)
-            server.slow_start |= event.kind is api.ListKind.CACHED
+            server.growing_fast |= event.kind is api.ListKind.CACHED
             server.entry = entry
         for server in started:  # beside all that are listed
             if self.warmth(server) < 1.0:  # all sidecars hear of it within moments: no burst of first sends
-                server.turn = -self.random.random()
+                server.slow_start_credit = -self.random.random()
         for pool in self.pools:
             self.count_cold(pool)
             pool.subset = {s: None for s in pool.subset if self.servers.get(s.entry.id) is s}
-        self.count_planned()
+        self.count_planned_ejections()
 
     def start_over(self, entry: api.Upstream, pool: Pool) -> Server:
         """Nothing is known of an upstream that is new. Hazard: one that starts again under its name
-        mostly was gone before, and by the faults of its last moments it would rest for seconds while it
+        mostly was gone before, and by the faults of its last moments it would be ejected for seconds while it
         is well; what is still out to it then is its former self's. Advice is of the machine, so it
         stays."""
         former = self.servers.get(entry.id)
-        server = self.servers[entry.id] = Server(entry, pool, len(self.mean_us))
+        server = self.servers[entry.id] = Server(entry, pool, len(self.mean_latency_us))
         if former is not None:
             server.advice = former.advice
         return server
@@ -731,18 +759,18 @@
             server.advice = advice.get(ident) or api.Advice(ident)
         self.tenant_worth = event.tenant_worth
         self.class_admit = event.class_admit
-        self.count_planned()
+        self.count_planned_ejections()
 
-    def count_planned(self) -> None:
-        """Hazard: a plan that rests too many, or of whose others the list has lost most, must not leave a
+    def count_planned_ejections(self) -> None:
+        """Hazard: a plan that ejects too many, or of whose others the list has lost most, must not leave a
         sidecar without upstreams."""
-        resting = sum(1 for server in self.servers.values() if server.advice.rests)
-        self.planned_rests = resting <= MOST_PLANNED * len(self.servers)
+        ejected = sum(1 for server in self.servers.values() if server.advice.ejected)
+        self.planned_ejections_apply = ejected <= MAX_PLANNED_EJECTED_SHARE * len(self.servers)
 
     def longest_call_gap_us(self) -> int:
         """The longest time (us) from a call for the list, or the last word of a watch, to the next call."""
         settings_us = self.settings.ask_within_us // 2 or TOLD_US
-        return min(TOLD_US - TURN_US, settings_us)
+        return min(TOLD_US - LIST_CALL_US, settings_us)
 
     def next_call_us(self) -> int:
         """When to call again after a failure (us, on the module's clock). Hazard: all sidecars fail
@@ -756,7 +784,7 @@
         latest_us = max(self.now_us, self.unheard_us + self.longest_call_gap_us())
         if self.call_spread_us >= self.longest_call_gap_us() // 2:
             return latest_us
-        first_us = max(FIRST_RETRY_US, CALL_GAP_US * self.settings.instances)
+        first_us = max(FIRST_LIST_RETRY_US, LIST_CALL_INTERVAL_US * self.settings.instances)
         self.call_spread_us = min(first_us * 2 ** min(self.list_failures - 1, 20), latest_us - self.now_us)
         return self.now_us + int(self.call_spread_us * self.random.random())
 
@@ -777,10 +805,10 @@
 
     def arm(self) -> None:
         times = [self.wakeups[0][0]] if self.wakeups else []
-        if self.buffer is not None:  # a resting slot opens by time, not by an event
+        if self.buffer is not None:  # an ejection ends by time, not by an event
             index = self.buffer.event.class_index
-            rests = [max(s.rest_until_us, s.mute_until_us[index]) for s in self.servers.values()]
-            times.extend([until_us for until_us in rests if until_us > self.now_us])
+            ends = [max(s.ejected_until_us, s.timeout_ejected_until_us[index]) for s in self.servers.values()]
+            times.extend([end_us for end_us in ends if end_us > self.now_us])
         if times and (self.armed_us == 0 or min(times) < self.armed_us):
             self.armed_us = min(times)
             self.actions.append(api.SetTimer(self.armed_us, 0))
@@ -792,7 +820,7 @@
                 self.ask_list()
             elif what == "copy" and ident in self.requests:
                 self.send_copy(self.requests[ident])
-            elif what == "silence" and ident in self.requests:
-                self.on_silence(self.requests[ident].attempts[number])
+            elif what == "overdue" and ident in self.requests:
+                self.on_overdue(self.requests[ident].attempts[number])
             elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
                 self.finish(self.buffer)
--- a/ryepier/balancer/interface.py
+++ b/ryepier/balancer/interface.py
@@ -229,7 +229,7 @@
     upstream: int
     weight: float = 1.0  # its slots count so much in the draw
     most_slots: int = 0  # no more are opened; 0 = no limit of the plan's
-    rests: bool = False  # nothing new while others are there
+    ejected: bool = False  # nothing new while others are there
 
 
 @dataclass(slots=True)
--- a/ryepier/check/canonical.py
+++ b/ryepier/check/canonical.py
@@ -1,8 +1,8 @@
 """When two worlds are the same: all that decides what may come next, with times counted from now, under every renaming
 of converters that are alike.
 
-What the module has learnt (paces, loads, shares of faults) is left out: it says which converter is the likelier, and
-every converter that may be drawn is drawn anyway. What it opens and closes by it (slots, rests) is kept.
+What the module has learnt (latency ratios, loads, fault shares) is left out: it says which converter is the likelier,
+and every converter that may be drawn is drawn anyway. What it opens and closes by it (slots, ejections) is kept.
 """
 
 from __future__ import annotations
@@ -54,8 +54,8 @@
             self.rename[one.entry.id],
             max(-OLDEST_US, one.sent_us - self.now_us),
             min(one.overtaken, balancer.OVERTAKEN),
-            one.passed,
-            one.silent,
+            one.overtaken_in_class,
+            one.overdue,
             one.lost,
             ended,
         )
@@ -64,16 +64,16 @@
         return (
             self.rename[one.entry.id],
             one.entry.state.value,
-            one.used,
+            one.slots_in_use,
             int(one.window),
             one.window < 1.0,
-            self.left(one.rest_until_us),
-            tuple(one.mute),
-            tuple(map(self.left, one.mute_until_us)),
-            one.room,
-            one.slow_start,
+            self.left(one.ejected_until_us),
+            tuple(one.timeout_streak),
+            tuple(map(self.left, one.timeout_ejected_until_us)),
+            one.queue_headroom,
+            one.growing_fast,
             one in one.pool.subset,
-            len(one.out),
+            len(one.outstanding),
         )
 
     def asked(self, one: balancer.Request) -> tuple[Any, ...]:
@@ -125,8 +125,8 @@
             balancer.buffer.event.request if balancer.buffer is not None else 0,
             sorted((self.left(at_us), what, ident, number) for at_us, what, ident, number in balancer.wakeups),
             self.left(balancer.armed_us),
-            int(balancer.retries),
-            [int(2 * pool.credit) for pool in balancer.pools],
+            int(balancer.retry_budget),
+            [int(2 * pool.admission_credit) for pool in balancer.pools],
         )
 
 
--- a/ryepier/check/model.py
+++ b/ryepier/check/model.py
@@ -414,9 +414,11 @@
     def look(self) -> None:
         balancer = self.host.balancer
         for server in balancer.servers.values():
-            held = sum(not attempt.lost for attempt in server.out)
-            if server.used != held:
-                self.breach("slots", f"converter {server.entry.id} has {server.used} slots taken, {held} attempts out")
+            held = sum(not attempt.lost for attempt in server.outstanding)
+            if server.slots_in_use != held:
+                self.breach(
+                    "slots", f"converter {server.entry.id} has {server.slots_in_use} slots taken, {held} attempts out"
+                )
         for number, client in enumerate(self.clients):
             if client.waits and self.timers.now_us > client.due_us + SLACK_US:
                 self.breach("in time", f"request {number} has no answer, and its time is out")
@@ -445,7 +447,7 @@
                 ("the host's requests", self.host.requests),
                 ("the module's requests", balancer.requests),
                 ("the module's buffer", balancer.buffer),
-                ("slots", sum(server.used for server in balancer.servers.values())),
+                ("slots", sum(server.slots_in_use for server in balancer.servers.values())),
                 ("timers", balancer.wakeups),
             )
             if what
--- a/ryepier/check/plants.py
+++ b/ryepier/check/plants.py
@@ -56,15 +56,15 @@
 
 def two_at_once() -> None:
     """A silent attempt brings a second one beside it."""
-    silence = Balancer.on_silence
+    on_overdue = Balancer.on_overdue
 
-    def silence_and_send(self: Balancer, attempt: Any) -> None:
-        silence(self, attempt)
+    def send_when_overdue(self: Balancer, attempt: Any) -> None:
+        on_overdue(self, attempt)
         for request in self.requests.values():
             if attempt in request.attempts and attempt.ended is None and len(request.attempts) < 2:
                 self.send(request, attempt.server)
 
-    Balancer.on_silence = silence_and_send  # type: ignore[method-assign]
+    Balancer.on_overdue = send_when_overdue  # type: ignore[method-assign]
 
 
 def careless_resend() -> None:
--- a/ryepier/experiments/capacity_rows.py
+++ b/ryepier/experiments/capacity_rows.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from ryepier.balancer.balancer import RETRY_SHARE
+from ryepier.balancer.balancer import RETRY_BUDGET_RATIO
 from ryepier.experiments.capacity import Plan, Row, Value, Work, as_is, family, level, on_line, over_the_day
 
 LIST, FAIL, CONTROL, CALL, DEPTH = "scale-list", "scale-fail", "scale-control", "scale-call", "scale-depth"
@@ -410,7 +410,7 @@
                 mechanism="retry budget a hop, time left",
                 experiment=DEPTH,
                 work=as_is(f"attempts_a_call_11_deep_{failing:g}_failing"),
-                budget=lambda plan: (1 + RETRY_SHARE) ** plan.depth,
+                budget=lambda plan: (1 + RETRY_BUDGET_RATIO) ** plan.depth,
             )
             for failing, said in ((0.5, "half"), (1.0, "all"))
         ),
@@ -421,7 +421,7 @@
             mechanism="retry budget a hop",
             experiment=DEPTH,
             work=as_is("factor_a_hop_0.5_failing"),
-            budget=lambda plan: 1 + RETRY_SHARE,
+            budget=lambda plan: 1 + RETRY_BUDGET_RATIO,
         ),
         Row(
             role=CONVERTER,
--- a/ryepier/experiments/hollow_forwarders.py
+++ b/ryepier/experiments/hollow_forwarders.py
@@ -109,7 +109,7 @@
         if (
             number is not None
             and self.avoids_after_s is None
-            and any(one.upstream == number and one.rests for one in event.advice)
+            and any(one.upstream == number and one.ejected for one in event.advice)
         ):
             self.avoids_after_s = (clock_us() - self.hung_us) / 1e6
 
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from ryepier.balancer import interface as api
-from ryepier.balancer.balancer import MOST_RETRIES, Balancer, Request, Server
+from ryepier.balancer.balancer import MAX_RETRY_BUDGET, Balancer, Request, Server
 from ryepier.check.plants import held_answer
 from ryepier.plan import compute, snapshot
 from ryepier.plan.compute import Planner
@@ -96,12 +96,12 @@
         if attempt.ended is not api.Outcome.TIMEOUT:
             judge(self, attempt, elapsed_us, class_index)
 
-    def forget_silence(self: Balancer, attempt: Any) -> None:
-        attempt.silent = attempt.lost = True
-        attempt.server.used -= 1
+    def forget_overdue(self: Balancer, attempt: Any) -> None:
+        attempt.overdue = attempt.lost = True
+        attempt.server.slots_in_use -= 1
 
     Balancer.judge = judge_answers  # type: ignore[method-assign]
-    Balancer.on_silence = forget_silence  # type: ignore[method-assign]
+    Balancer.on_overdue = forget_overdue  # type: ignore[method-assign]
 
 
 def crowd() -> None:
@@ -109,10 +109,10 @@
     free_slots = Balancer.free_slots
 
     def youngest(
-        self: Balancer, request: Request, servers: list[Server], some_rest: bool
+        self: Balancer, request: Request, servers: list[Server], ejection_allowed: bool
     ) -> list[tuple[Server, float]]:
         cold = [server for server in self.servers.values() if self.warmth(server) < 1.0]
-        return [(cold[-1], 1.0)] if cold else free_slots(self, request, servers, some_rest)
+        return [(cold[-1], 1.0)] if cold else free_slots(self, request, servers, ejection_allowed)
 
     Balancer.free_slots = youngest  # type: ignore[method-assign]
 
@@ -159,7 +159,7 @@
 
     def send_for_nothing(self: Balancer, request: Request, server: Server) -> None:
         send(self, request, server)
-        self.retries = MOST_RETRIES
+        self.retry_budget = MAX_RETRY_BUDGET
 
     Balancer.send = send_for_nothing  # type: ignore[method-assign]
 
--- a/ryepier/experiments/scale_depth.py
+++ b/ryepier/experiments/scale_depth.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ryepier.balancer.balancer import MOST_RETRIES, RETRY_SHARE
+from ryepier.balancer.balancer import MAX_RETRY_BUDGET, RETRY_BUDGET_RATIO
 from ryepier.experiments import planted, slopes
 from ryepier.experiments.chains import Chain, Seen, play
 from ryepier.experiments.contract import Claim, Measured, Scale
@@ -33,7 +33,7 @@
     A hop's sidecars earn a fifth of an attempt with each call, and hold a few in hand from the start."""
     most = float(calls)
     for _ in range(chain.depth):
-        most = (1.0 + RETRY_SHARE) * most + MOST_RETRIES * chain.instances
+        most = (1.0 + RETRY_BUDGET_RATIO) * most + MAX_RETRY_BUDGET * chain.instances
     return most / calls
 
 
@@ -42,7 +42,7 @@
     last_first = max(1, seen.first[-1])
     return {
         "attempts_a_call": seen.attempts[-1] / chain.calls,
-        "theory": (1.0 + RETRY_SHARE) ** chain.depth,
+        "theory": (1.0 + RETRY_BUDGET_RATIO) ** chain.depth,
         "over_bound": seen.attempts[-1] / chain.calls / bound(chain, chain.calls),
         "attempts_a_call_of_the_last_hop": seen.attempts[-1] / last_first,
         "served_share": seen.served / chain.calls,
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -230,12 +230,12 @@
 def test_a_fleet_whose_sidecars_each_take_the_whole_for_their_own_pushes_it_over(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    case, advance = Case(30, 4, EVEN, 2.0), Balancer.advance_turns
+    case, advance = Case(30, 4, EVEN, 2.0), Balancer.add_slow_start_credit
 
     def planted(balancer: Balancer, pool: Pool, served: float) -> None:
         advance(balancer, pool, case.sidecars * served)
 
-    monkeypatch.setattr(Balancer, "advance_turns", planted)  # shows that the test above can fail
+    monkeypatch.setattr(Balancer, "add_slow_start_credit", planted)  # shows that the test above can fail
     fleet = Fleet(case)
     fleet.play()
     assert fleet.worst_window() > 1.0
@@ -290,6 +290,6 @@
 def test_a_plans_advice_outlasts_a_start() -> None:
     world = World(settings(second_copies=False))
     world.tell_list(upstreams(4))
-    world.tell(PlanUpdated([Advice(AGAIN, rests=True)]))
+    world.tell(PlanUpdated([Advice(AGAIN, ejected=True)]))
     world.tell_list([Upstream(AGAIN, started_us=world.now_us - 5_000_000)], ListKind.DELTA)
     assert sent_again(world) == 0
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -325,7 +325,7 @@
         assert follower.offer(0, plan, LISTED) == ""
     for second in range(0, 45, 2):
         advice = [{one.upstream: one for one in f.advice(second * S, idents)} for f in followers]
-        left.append(sum(not one.get(1, Advice(1)).rests for one in advice))
+        left.append(sum(not one.get(1, Advice(1)).ejected for one in advice))
         weights.append(sum(one.get(2, Advice(2)).weight for one in advice) / 200)
     assert left[0] == left[1] == 0 and left[-1] == 200
     assert max(b - a for a, b in zip(left, left[1:], strict=False)) < 40  # no step: never a fifth at once
@@ -365,14 +365,14 @@
 
 
 def test_the_module_keeps_off_what_rests_by_plan_unless_the_plan_rests_too_many() -> None:
-    assert set(sends(balancer(4), 3, PlanUpdated([Advice(0, rests=True)]))) == {1, 2, 3}
-    assert set(sends(balancer(4), 4, PlanUpdated([Advice(i, rests=True) for i in range(3)]))) == {0, 1, 2, 3}
+    assert set(sends(balancer(4), 3, PlanUpdated([Advice(0, ejected=True)]))) == {1, 2, 3}
+    assert set(sends(balancer(4), 4, PlanUpdated([Advice(i, ejected=True) for i in range(3)]))) == {0, 1, 2, 3}
     assert sends(balancer(2), 2, PlanUpdated([Advice(9)])) != []
 
 
 def test_advice_does_not_outlive_the_next_plan_nor_bring_back_what_has_left() -> None:
     made = balancer(2)
-    made.handle(2, PlanUpdated([Advice(0, rests=True)]))
+    made.handle(2, PlanUpdated([Advice(0, ejected=True)]))
     made.handle(3, UpstreamsUpdated(ListKind.FULL, [Upstream(1)]))
     made.handle(4, PlanUpdated([Advice(0, weight=1.0)]))
     assert set(sends(made, 1, PlanUpdated([Advice(0)]))) == {1}
--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -76,7 +76,7 @@
             self.task.cancel()
 
     def rests(self) -> set[int]:
-        return {one.upstream for one in self.plans[-1].advice if one.rests} if self.plans else set()
+        return {one.upstream for one in self.plans[-1].advice if one.ejected} if self.plans else set()
 
 
 @asynccontextmanager
