--- a/ryepier/balancer/adapter.py
+++ b/ryepier/balancer/adapter.py
@@ -25,10 +25,13 @@
     """The running instances; they share nothing but the decoder's upstream lists."""
 
     def __init__(self) -> None:
+        """Start with no instances."""
         self.decoder = wire.Decoder()
         self.instances: dict[int, Balancer] = {}
 
     def batch(self, now_us: int, count: int, body: bytes) -> bytes:
+        """Hand the `count` records of a batch to their instances and return the reply frame. An exception in
+        the decision module becomes an InternalError record. Raises WireError for a malformed batch."""
         records: list[bytes] = []
         for instance, event in self.decoder.batch(body, count):
             if isinstance(event, wire.InstanceStarted):
@@ -74,6 +77,8 @@
 
 
 def main() -> int:
+    """Serve standard input and output. Returns the exit status: 0 at the end of input, 2 for malformed input,
+    3 if the reader of the replies is gone."""
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
--- a/ryepier/balancer/interface.py
+++ b/ryepier/balancer/interface.py
@@ -67,6 +67,7 @@
     stream: bool = False
 
     def __post_init__(self) -> None:
+        """Raise ValueError for a value that is out of range."""
         _require(self.aim_us > 0, "a request class aim_us above 0", self.aim_us)
         _require(self.deadline_us > 0, "a request class deadline_us above 0", self.deadline_us)
         _require(self.worth >= 0, "a request class worth of 0 or more", self.worth)
@@ -86,6 +87,7 @@
     share: float = 0.0
 
     def __post_init__(self) -> None:
+        """Raise ValueError for a value that is out of range."""
         _require(self.allowance_per_s >= 0, "a tenant allowance_per_s of 0 or more", self.allowance_per_s)
         _require(0 <= self.share <= 1, "a tenant share from 0 to 1", self.share)
 
@@ -120,6 +122,7 @@
     weighted: bool = False  # the list's weights speak of size
 
     def __post_init__(self) -> None:
+        """Raise ValueError for a value that is out of range."""
         _require(len(self.classes) > 0, "at least one request class", self.classes)
         _require(self.instances >= 1, "an instances of 1 or more", self.instances)
         _require(self.self_index >= 0, "a self_index of 0 or more", self.self_index)
@@ -158,6 +161,8 @@
 
 @dataclass(slots=True)
 class UpstreamsUpdated:
+    """The upstream list, changes to it, or the failure to get it."""
+
     kind: ListKind
     upstreams: list[Upstream] = field(default_factory=list)
     version: int = 0
@@ -166,6 +171,8 @@
 
 @dataclass(slots=True)
 class RequestArrived:
+    """A client's request has come in; a final answer is owed."""
+
     request: int
     due_us: int  # when the client stops waiting
     class_index: int = 0
@@ -186,6 +193,8 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
+    """An attempt has ended after `elapsed_us`."""
+
     request: int
     attempt: int
     upstream: int
@@ -197,6 +206,8 @@
 
 @dataclass(slots=True)
 class StreamStarted:
+    """A streamed answer has begun; the request can't be sent again."""
+
     request: int
     attempt: int
     upstream: int
@@ -205,6 +216,8 @@
 
 @dataclass(slots=True)
 class ProbeEnded:
+    """A health probe has ended after `elapsed_us`."""
+
     upstream: int
     outcome: Outcome
     elapsed_us: int = 0
@@ -213,11 +226,15 @@
 
 @dataclass(slots=True)
 class TimerFired:
+    """A timer that `SetTimer` asked for has fired."""
+
     token: int
 
 
 @dataclass(slots=True)
 class PeerMessage:
+    """A message from another sidecar."""
+
     sender: int
     payload: bytes
 
@@ -302,44 +319,60 @@
 
 @dataclass(slots=True)
 class Cancel:
+    """Give up an attempt that is out."""
+
     request: int
     attempt: int
 
 
 @dataclass(slots=True)
 class Probe:
+    """Send a health probe to an upstream."""
+
     upstream: int
 
 
 @dataclass(slots=True)
 class SetTimer:
+    """Fire a timer at a time (us)."""
+
     at_us: int
     token: int = 0
 
 
 @dataclass(slots=True)
 class Subscribe:
+    """Begin or end the subscription to the upstream list; where lists come on request, ask for it once."""
+
     active: bool = True
 
 
 @dataclass(slots=True)
 class FetchList:
+    """Ask for the whole upstream list."""
+
     pass
 
 
 @dataclass(slots=True)
 class CloseIdle:
+    """Close the idle connections to an upstream."""
+
     upstream: int
 
 
 @dataclass(slots=True)
 class TellPeer:
+    """Send a message to another sidecar, or to all."""
+
     payload: bytes
     to: int | None = None  # None = every peer
 
 
 @dataclass(slots=True)
 class Log:
+    """Write a line to the log."""
+
     text: str
 
 
--- a/ryepier/balancer/wire.py
+++ b/ryepier/balancer/wire.py
@@ -84,6 +84,7 @@
     """Reads batches; remembers the numbered upstream lists, which events refer to."""
 
     def __init__(self) -> None:
+        """Start with no lists and no batch."""
         self.lists: dict[int, list[api.Upstream]] = {}
         self.data = b""
         self.at = 0
@@ -110,6 +111,7 @@
             raise WireError(f"{len(data) - self.at} bytes left over after {count} records")
 
     def take(self, size: int) -> bytes:
+        """The next `size` bytes of the batch. Raises WireError if fewer are left."""
         end = self.at + size
         if end > len(self.data):
             raise WireError(f"truncated: {size} bytes wanted, {len(self.data) - self.at} left")
@@ -118,15 +120,18 @@
         return piece
 
     def fields(self, layout: struct.Struct) -> tuple[int, ...]:
+        """The next fields, as `layout` has them. Raises WireError if the batch ends before."""
         return layout.unpack(self.take(layout.size))
 
     def floats(self, count: int) -> list[float]:
+        """The next `count` load report values. Raises WireError for one that is not finite."""
         values = list(struct.unpack(f"<{count}f", self.take(4 * count)))
         if not all(map(math.isfinite, values)):
             raise WireError("a load report value that is not a finite number")
         return values
 
     def read_list(self) -> None:
+        """Read a numbered upstream list and remember it. Raises WireError for an entry that can't be read."""
         number, count = self.fields(_LIST_HEAD)
         entries = []
         for upstream, zone, kind, cell, state, weight, started in _ENTRY.iter_unpack(
