--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -23,6 +23,7 @@
 
 LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
+LONGEST_CHUNKED = 8 * LONGEST_BODY  # the bytes of a chunked message: chunks of one byte take six each
 LONGEST_READ_S = 2.4  # to connect and send a whole request, and to send each later one;
 LONGEST_SLOW_S = 6.0  # or so long, the later ones, as long as their bytes keep coming
 LONGEST_PAUSE_S = 0.8
@@ -281,6 +282,7 @@
     def reset(self) -> None:
         self.whole = False
         self.head_done = False
+        self.chunked = False
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.size = 0
@@ -311,22 +313,32 @@
             self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.whole:
+        if self.whole or self.head_done:  # hazard: a trailer could change what the head says of the request
             return
         plain = name.lower()
         if plain == b"transfer-encoding":
-            # hazard: who goes by it and who goes by the length see the next request begin at different places
-            raise RequestError(400, "no chunked requests")
+            if value.strip().lower() != b"chunked":
+                raise RequestError(400, "a transfer coding other than chunked")
+            self.chunked = True
         if plain == b"content-length" and int(value) > LONGEST_BODY:
             raise RequestError(413, "the body is too long")  # hazard: 60 MB would be read for nothing
         self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        assert self.parser is not None
+        if self.whole:
+            return
+        # hazard: a server of 1.0 before us would have gone by the length, and seen the next request begin elsewhere
+        if self.chunked and self.parser.get_http_version() != "1.1":
+            raise RequestError(400, "a transfer coding, but not HTTP/1.1")
         self.head_done = True
 
     def on_body(self, data: bytes) -> None:
-        if not self.whole:
-            self.body += data
+        if self.whole:
+            return
+        self.body += data
+        if len(self.body) > LONGEST_BODY:  # a chunked one, which tells no length at its head
+            raise RequestError(413, "the body is too long")
 
     def on_message_complete(self) -> None:
         self.whole = True
@@ -369,6 +381,8 @@
             raise RequestError(400, "malformed request") from None
         if not self.head_done and self.size > LONGEST_HEAD:
             raise RequestError(413, "the head is too long")  # hazard: one without end would fill the memory
+        if self.chunked and not self.whole and self.size > LONGEST_CHUNKED:
+            raise RequestError(413, "the chunks are too long")  # hazard: extensions and trailers may have no end
 
     def take(self) -> None:
         """The request has come whole."""
--- a/tests/net.py
+++ b/tests/net.py
@@ -342,6 +342,20 @@
     asyncio.run(limited())
 
 
+async def is_rejected(data: bytes, expected: int) -> None:
+    """Check that such bytes get an error of this status and the end of their connection, that nothing of them goes on,
+    and that the sidecar serves after it."""
+    upstream = Upstream(answering(OK))
+    async with sidecar(upstream) as it:
+        reader, writer = await it.connect()
+        writer.write(data)
+        answer = await reader.read()
+        writer.close()
+        assert int(answer.split(b" ")[1]) == expected and b"Connection: close" in answer
+        assert upstream.requests == []
+        assert status(await it.ask(request())) == 200
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Wait until it holds."""
     async with asyncio.timeout(PATIENCE_S):
