Check that no sidecar serves nobody for 4 s while others serve

Need: the acceptance now counts sidecars that turn away all they get for 4 s while others serve, after lists that fall silent and come late or whole, kills, restarts, and with cold converters only.

--- a/tests/acceptance.py
+++ b/tests/acceptance.py
@@ -1,7 +1,7 @@
-"""A check of the acceptance on what applications saw, and the real processes and peers to apply it to.
+"""Two checks of the acceptance on what applications saw, and the real processes and peers to apply them to.
 
-`unanswered` finds requests without a final answer in time. It reads only the records of requests, so that it knows
-nothing of how a sidecar works.
+`unanswered` finds requests without a final answer in time, `spans_without_service` sidecars that serve nobody while
+others serve. Both read only the records of requests, so that they know nothing of how a sidecar works.
 """
 
 from __future__ import annotations
@@ -23,6 +23,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LATEST_S = 0.5  # an answer that comes so long after the request's time, or later, is none
+BARREN_S = 4.0  # a sidecar may serve nobody for less than this
+BARREN_REQUESTS = 15  # a span with fewer requests says nothing
 HEARTBEAT_S = 0.5  # of a discovery agent that has nothing to tell
 AIM_US, DEADLINE_S = 300_000, 0.6
 MEMORY_US = 500_000
@@ -39,6 +41,7 @@
         {"aim": AIM_US, "deadline": int(DEADLINE_S * 1e6), "late-worth": 0.5, "worth": 1.0} | one for one in CLASSES
     ],
 }
+ASKED = PUSHED | {"registry-mode": "on_request"}
 
 
 @dataclass
@@ -58,6 +61,33 @@
     return [one for one in requests if one.ended_s is None or one.ended_s > one.sent_s + one.deadline_s + LATEST_S]
 
 
+@dataclass(frozen=True)
+class BarrenSpan:
+    """A span in which a sidecar served nobody while others served."""
+
+    sidecar: str
+    from_s: float
+    until_s: float
+    requests: int
+
+
+def spans_without_service(requests: Sequence[ClientRequest], from_s: float, until_s: float) -> list[BarrenSpan]:
+    """The spans of `BARREN_S` or more, between two moments, in which a sidecar got `BARREN_REQUESTS` or more and
+    served none of them, and some other sidecar served."""
+    found = []
+    for sidecar in sorted({one.sidecar for one in requests}):
+        own = [one for one in requests if one.sidecar == sidecar]
+        served = sorted(one.sent_s for one in own if one.status == SERVED and from_s <= one.sent_s <= until_s)
+        for begin_s, end_s in zip([from_s, *served], [*served, until_s], strict=True):
+            count = sum(begin_s < one.sent_s < end_s for one in own)
+            others_serve = any(
+                one.sidecar != sidecar and one.status == SERVED and begin_s < one.sent_s < end_s for one in requests
+            )
+            if end_s - begin_s >= BARREN_S and count >= BARREN_REQUESTS and others_serve:
+                found.append(BarrenSpan(sidecar, begin_s, end_s, count))
+    return found
+
+
 @dataclass
 class Agent(Discovery):
     """Discovery for one sidecar: it sends an empty line every now and then, until it falls silent."""
@@ -121,11 +151,21 @@
 class SidecarProcess:
     """A sidecar in a process of its own, with a mistake of `tests/planted_sidecars.py` if one is named."""
 
-    def __init__(self, folder: Path, name: str, agent: Discovery, known: dict[str, Any], mistake: str = "") -> None:
+    def __init__(
+        self,
+        folder: Path,
+        name: str,
+        agent: Discovery,
+        known: dict[str, Any],
+        mistake: str = "",
+        settings: dict[str, Any] = PUSHED,
+    ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self.name = name
         self.mistake = mistake
-        self.path = configuration(folder, name=name, discovery=f"127.0.0.1:{agent.port}", known=known, settings=PUSHED)
+        self.path = configuration(
+            folder, name=name, discovery=f"127.0.0.1:{agent.port}", known=known, settings=settings
+        )
         self.port = int(json.loads(self.path.read_text())["listen"].split(":")[1])
         self.log = (folder / "log").open("ab")
         self.process: subprocess.Popen[bytes] | None = None
--- a/tests/planted_sidecars.py
+++ b/tests/planted_sidecars.py
@@ -1,6 +1,6 @@
 """Sidecars with one mistake put in on purpose: `python -m tests.planted_sidecars MISTAKE`.
 
-Each mistake breaks one path that the check of `tests/acceptance.py` guards, so that the check is seen to fail.
+Each mistake breaks one path that a check of `tests/acceptance.py` guards, so that the check is seen to fail.
 """
 
 from __future__ import annotations
@@ -9,11 +9,11 @@
 import sys
 from collections.abc import Callable, Iterable
 
-from ryepier.balancer.interface import Outcome
+from ryepier.balancer.interface import ListKind, Outcome, UpstreamState, UpstreamsUpdated
 from ryepier.sidecar import __main__ as sidecar
 from ryepier.sidecar.config import Config
-from ryepier.sidecar.discovery import Discovery
-from ryepier.sidecar.host import Answer, Host, Request, Result
+from ryepier.sidecar.discovery import Address, Discovery
+from ryepier.sidecar.host import Answer, Call, Host, Request, Result, Verdict
 from ryepier.sidecar.server import Client, Server, State
 
 LATE_S = 0.8  # past the request's time
@@ -116,6 +116,57 @@
     Host._answer = give_late  # type: ignore[method-assign]
 
 
+def never_watch_again() -> None:
+    """A watch that has fallen silent is not opened anew."""
+    Discovery.check = lambda self: None  # type: ignore[method-assign]
+
+
+def ignore_whole_lists() -> None:
+    """Of a whole list nothing is taken but at the start."""
+    changed = Host.list_changed
+
+    def only_changes(self: Host, event: UpstreamsUpdated, addresses: dict[int, Address]) -> None:
+        if event.kind is not ListKind.FULL or not self.addresses:
+            changed(self, event, addresses)
+
+    Host.list_changed = only_changes  # type: ignore[method-assign]
+
+
+def lose_watch_on_reload() -> None:
+    """After a new configuration it watches nothing."""
+
+    def move_and_stop(self: Discovery, address: Address) -> None:
+        self.address = address
+        self.stop()
+
+    Discovery.move = move_and_stop  # type: ignore[method-assign]
+
+
+def trust_known_list() -> None:
+    """A new process stays with the list that it knew."""
+    Discovery.start = lambda self: None  # type: ignore[method-assign]
+
+
+def refuse_while_cold() -> None:
+    """Nothing is sent while the last word of the list names only cold upstreams."""
+    list_changed, arrived, cold = Host.list_changed, Host.arrived, False
+
+    def note_cold(self: Host, event: UpstreamsUpdated, addresses: dict[int, Address]) -> None:
+        nonlocal cold
+        ready = [one for one in event.upstreams if one.state is UpstreamState.READY]
+        cold = bool(ready) and all(one.started_us for one in ready)
+        list_changed(self, event, addresses)
+
+    def refuse(self: Host, call: Call, reply: Callable[[Answer], None]) -> int:
+        if not cold:
+            return arrived(self, call, reply)
+        reply(Answer(Verdict.REFUSED))
+        return 0
+
+    Host.list_changed = note_cold  # type: ignore[method-assign]
+    Host.arrived = refuse  # type: ignore[method-assign]
+
+
 MISTAKES: dict[str, Callable[[], None]] = {
     one.__name__: one
     for one in (
@@ -125,6 +176,11 @@
         ignore_pieces,
         close_halves_on_stop,
         answer_late,
+        never_watch_again,
+        ignore_whole_lists,
+        lose_watch_on_reload,
+        trust_known_list,
+        refuse_while_cold,
     )
 }
 
