--- a/ryepier/emulator/converters.py
+++ b/ryepier/emulator/converters.py
@@ -12,7 +12,7 @@
 
 from ryepier.emulator import draws, graphql, machine
 from ryepier.emulator.process import Clock, LatenessMeter, Plan
-from ryepier.emulator.records import NEVER, Attempt, AttemptEnding, Happening, RoleRecords
+from ryepier.emulator.records import NEVER, Attempt, AttemptEnding, ConnectionLife, Happening, RoleRecords
 from ryepier.emulator.timeline import Instance, Step, Timeline, Verb, Who
 from ryepier.sidecar import system
 
@@ -43,6 +43,8 @@
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.heard_us = 0
+        self.severed = False  # a fault between it and its client has swallowed something
+        self.life = ConnectionLife(server.instance.uid, NEVER)
         self.reset()
 
     def reset(self) -> None:
@@ -56,6 +58,8 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.heard_us = self.server.clock.now_us()
+        self.life.opened_us = self.heard_us
+        self.server.host.records.connections.append(self.life)
         self.server.lines[self] = None
         self.server.connected()
 
@@ -129,6 +133,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.lines.pop(self, None)
+        self.life.closed_us = self.server.clock.now_us()
         self.end_attempt("closed")
 
 
@@ -151,7 +156,7 @@
         self.work_of = {kind.name.encode(): kind for kind in world.classes}
         self.fault = ""
         self.fault_share = 1.0
-        self.fault_via: int | None = None
+        self.fault_via: frozenset[int] | None = None
         self.lines: dict[Line, None] = {}  # in the order of their coming, which a set has not
         self.server: asyncio.Server | None = None
         self.blocked: list[socket.socket] = []
@@ -170,10 +175,18 @@
 
     def strikes(self, ident: bytes) -> bool:
         """Whether the present fault strikes this request here: always the same for the same one."""
-        if self.fault_via is not None and self.host.sidecar_of(ident) != self.fault_via:
+        if self.fault_via is not None and self.host.sidecar_of(ident) not in self.fault_via:
             return False
         return zlib.crc32(ident + self.instance.uid.encode()) < self.fault_share * 2**32
 
+    def severs(self, line: Line) -> bool:
+        """Whether the line's request comes from beyond the present cut between zones: neither it nor its answer
+        gets through."""
+        if self.fault != "zone-cut" or line.attempt is None or not self.strikes(line.attempt.ident.encode("latin-1")):
+            return False
+        line.severed = True
+        return True
+
     # What comes in
 
     def connected(self) -> None:
@@ -204,7 +217,7 @@
         self.host.records.attempts.append(attempt)
         line.end_attempt("closed")  # hazard: a second request on a busy connection must not lose the first's record
         line.attempt = attempt
-        if self.fault == "cut":
+        if self.fault == "cut" or self.severs(line):
             return  # it has been sent, and never arrives
         if line.crowded:
             self.reply(line, 503, b"", not_run=True)
@@ -250,7 +263,7 @@
         return b'{"data":{"done":true},"extensions":%s}' % said if self.host.plan.world.clients.speak_graphql else said
 
     def reply(self, line: Line, status: int, body: bytes, not_run: bool = False) -> None:
-        if self.fault in ("hang", "cut"):
+        if self.fault in ("hang", "cut") or self.severs(line):
             return
         assert line.attempt is not None
         struck = self.strikes(line.attempt.ident.encode("latin-1"))
@@ -316,6 +329,9 @@
         elif was == "cut":
             for line in list(self.lines):
                 line.abort()  # a machine that is back resets what it does not know
+        elif was == "zone-cut":
+            for line in [line for line in self.lines if line.severed]:
+                line.abort()
         if was in ("refuse", "cut") and self.server is None:
             await self.listen()
 
--- a/ryepier/emulator/discovery.py
+++ b/ryepier/emulator/discovery.py
@@ -80,7 +80,8 @@
         self.sidecar = sidecar
         self.registry = Registry(listing)
         self.silent = False
-        self.late: list[dict[str, Any]] = []  # entries that came while it was silent
+        self.holds = False  # it keeps changes back, and hands out the list as it was
+        self.late: list[dict[str, Any]] = []  # entries that came while it was silent, away or held them back
         self.server: asyncio.Server | None = None
         self.watches: dict[asyncio.StreamWriter, int] = {}  # each with the revision that it was last told
         self.writers: dict[asyncio.StreamWriter, None] = {}  # in the order of their coming, which a set has not
@@ -147,12 +148,14 @@
 
     async def take(self, step: Step, entry: dict[str, Any] | None) -> None:
         if step.verb is Verb.TELL and entry is not None:
-            if self.silent or self.server is None:
+            if self.silent or self.holds or self.server is None:
                 self.late.append(entry)
             elif self.registry.change(entry):
                 self.tell_all()
         elif step.verb is Verb.SILENCE:
             self.silent = True
+        elif step.verb is Verb.HOLD:
+            self.holds = True
         elif step.verb is Verb.DOWN and self.server is not None:
             self.server.close()
             self.server = None
@@ -160,7 +163,7 @@
         elif step.verb is Verb.BREAK:
             self.end_connections()
         elif step.verb in (Verb.SPEAK, Verb.UP):
-            self.silent = False
+            self.silent = self.holds = False
             for late in self.late:
                 self.registry.change(late)
             self.late.clear()
--- a/ryepier/emulator/files.py
+++ b/ryepier/emulator/files.py
@@ -35,16 +35,15 @@
         {"name": tenant.name, "share": tenant.share, "allowance-per-s": tenant.share * world.clients.rate_per_s}
         for tenant in world.tenants
     ]
-    zones = sorted({group.zone for group in world.converters})
     sidecars, warmth = world.sidecars, world.warmth
     return {
         "accounts": accounts,
-        "areas": zones,
+        "areas": world.zones,
         "fees": {"cross-zone": 0.0},
         "granularity": 1000,
         "instances": sidecars.count,
         "kinds": sorted({group.model for group in world.converters}),
-        "locality": 0,
+        "locality": world.sidecar_zone(index),
         "over-share-worth": 0.2,
         "registry-mode": "on_request" if sidecars.list_on_request else "pushed",
         "report": {"how": "answers", "names": world.reports.names},
--- a/ryepier/emulator/records.py
+++ b/ryepier/emulator/records.py
@@ -57,6 +57,14 @@
     work_us: int = 0
 
 
+class ConnectionLife(msgspec.Struct, array_like=True):
+    """One connection to a converter, as that saw it."""
+
+    uid: str
+    opened_us: int
+    closed_us: int = NEVER  # still open at the end
+
+
 class Told(msgspec.Struct, array_like=True):
     """A state of a converter, written to a sidecar's watch."""
 
@@ -122,6 +130,7 @@
     role: str
     tries: list[Try] = []
     attempts: list[Attempt] = []
+    connections: list[ConnectionLife] = []
     told: list[Told] = []
     happenings: list[Happening] = []
     fallen: list[tuple[int, str]] = []  # (when, uid): converters that were pushed over
@@ -138,6 +147,7 @@
     happenings: list[Happening]
     fallen: list[tuple[int, str]]
     lateness: list[Lateness]
+    connections: list[ConnectionLife] = []  # to converters, by the time of their coming up
 
 
 def join(parts: list[RoleRecords], lives: list[Life], happenings: list[Happening]) -> History:
@@ -150,4 +160,5 @@
         happenings=sorted([h for part in parts for h in part.happenings] + happenings, key=lambda h: h.at_us),
         fallen=sorted(f for part in parts for f in part.fallen),
         lateness=[part.lateness for part in parts if part.lateness is not None],
+        connections=sorted((c for part in parts for c in part.connections), key=lambda c: c.opened_us),
     )
--- a/ryepier/emulator/timeline.py
+++ b/ryepier/emulator/timeline.py
@@ -29,6 +29,7 @@
     DRIFT = "drift"  # its clocks go faster or slower
     TELL = "tell"  # an agent writes a change to its sidecar
     SILENCE = "silence"  # an agent says nothing, not even heartbeats
+    HOLD = "hold"  # an agent keeps changes back, and goes on as if there were none
     SPEAK = "speak"
     DOWN = "down"  # an agent refuses connections and ends the open ones
     UP = "up"
@@ -55,7 +56,7 @@
     share: float = 1.0
     uid: str = ""
     state: str = ""  # TELL: what the list says of the uid from now on
-    via: int | None = None  # only what comes by this sidecar
+    via: frozenset[int] | None = None  # only what comes by these sidecars
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +93,15 @@
         self.places = [[instance] for instance in self.instances]  # who follows whom
 
     def step(self, at_us: int, who: Who, index: int, verb: Verb, fault: Fault, uid: str = "") -> None:
-        self.steps.append(Step(at_us, who, index, verb, fault.kind, fault.factor, fault.share, uid, via=fault.via))
+        via = None if fault.via is None else frozenset((fault.via,))
+        self.steps.append(Step(at_us, who, index, verb, fault.kind, fault.factor, fault.share, uid, via=via))
 
     def build(self) -> Timeline:
         for fault in sorted(self.world.faults, key=lambda fault: fault.at_s):
             if fault.kind in CONVERTER_FAULTS:
                 self.strike_converters(fault)
+            elif fault.kind == "zone-cut":
+                self.cut_zone(fault)
             elif fault.kind == "release":
                 self.release(fault)
             elif fault.kind == "sidecar-kill":
@@ -113,7 +117,7 @@
             elif fault.kind == "clock-jump":
                 for index in draws.struck(self.world.sidecars.count, fault, self.random):
                     self.steps.append(Step(us(fault.at_s), Who.SIDECAR, index, Verb.JUMP, fault.kind, fault.jump_s))
-            elif fault.kind in ("discovery-down", "discovery-silent", "watch-break"):
+            elif fault.kind in ("discovery-down", "discovery-silent", "discovery-stale", "watch-break"):
                 self.strike_discovery(fault)
             # surges and tails are in the arrivals as drawn
         self.steps.sort(key=lambda step: step.at_us)
@@ -131,6 +135,16 @@
             self.step(us(fault.at_s), Who.CONVERTER, index, Verb.BEGIN, fault)
             self.step(us(fault.at_s + fault.for_s), Who.CONVERTER, index, Verb.END, fault)
 
+    def cut_zone(self, fault: Fault) -> None:
+        """Converters and sidecars of one zone, and those of the others, do not reach each other."""
+        zones, sidecars = self.world.zones, range(self.world.sidecars.count)
+        inside = frozenset(i for i in sidecars if zones[self.world.sidecar_zone(i)] == fault.zone)
+        for place in range(self.world.converter_count):
+            instance = self.at_place(place, us(fault.at_s))
+            via = frozenset(sidecars) - inside if instance.machine.group.zone == fault.zone else inside
+            for at_s, verb in ((fault.at_s, Verb.BEGIN), (fault.at_s + fault.for_s, Verb.END)):
+                self.steps.append(Step(us(at_s), Who.CONVERTER, instance.index, verb, fault.kind, via=via))
+
     def at_place(self, place: int, at_us: int) -> Instance:
         """The last that came up there by then."""
         return next(one for one in reversed(self.places[place]) if one.start_us is None or one.start_us <= at_us)
@@ -173,6 +187,7 @@
         verbs = {
             "discovery-down": (Verb.DOWN, Verb.UP),
             "discovery-silent": (Verb.SILENCE, Verb.SPEAK),
+            "discovery-stale": (Verb.HOLD, Verb.SPEAK),
             "watch-break": (Verb.BREAK, None),
         }[fault.kind]
         for index in draws.struck(max(1, self.world.sidecars.count), fault, self.random):
--- a/ryepier/emulator/world.py
+++ b/ryepier/emulator/world.py
@@ -126,6 +126,7 @@
     """The sidecars under test, each a process of its own. With a count of 0 clients go to the converters directly."""
 
     count: Annotated[int, msgspec.Meta(ge=0, le=5000)]  # on sockets at most 200
+    zoned: bool = False  # they are dealt out over the converters' zones; else all are in the first
     skew: NotNegative = 0.0  # traffic of the i-th is 1 / i**skew of the first's
     sockets: Annotated[int, msgspec.Meta(ge=64)] = 1024
     memory_mb: Count = 192
@@ -167,10 +168,12 @@
     "half-answer",
     "slow",
     "cut",
+    "zone-cut",
     "release",
     "sidecar-kill",
     "discovery-down",
     "discovery-silent",
+    "discovery-stale",
     "watch-break",
     "surge",
     "tenant-surge",
@@ -198,6 +201,7 @@
     share: Share = 1.0  # of the requests that it strikes
     tenant: str = ""
     request_class: str = ""
+    zone: str = ""  # zone-cut: the one that neither reaches the others nor is reached from them
     drain_s: NotNegative = 1.0  # release: from draining to the end
     down_s: NotNegative = 0.5  # release: from the end to the replacement's start; a kill: till the next start
     index: Annotated[int, msgspec.Meta(ge=0)] | None = None  # the one that it strikes; by default drawn
@@ -261,9 +265,22 @@
             raise ValueError(f"{where}: the world has no planners")
         if fault.kind in SIDECARS_FAULTS and self.sidecars.count == 0:
             raise ValueError(f"{where}: the world has no sidecars")
+        if fault.kind == "zone-cut" and (fault.zone not in self.zones or not self.sidecars.zoned):
+            raise ValueError(f"{where}: zone: expected one of {', '.join(self.zones)}, and sidecars that are zoned")
+        if fault.kind == "discovery-stale" and self.discovery.slice_size:
+            raise ValueError(f"{where}: only where the list comes from the platform's agents")
         if fault.via is not None and (fault.kind != "turn-away" or fault.via >= self.sidecars.count):
             raise ValueError(f"{where}: via: expected a sidecar of the world, and a turn-away")
 
+    @property
+    def zones(self) -> list[str]:
+        """The converters' zones, by name."""
+        return sorted({group.zone for group in self.converters})
+
+    def sidecar_zone(self, index: int) -> int:
+        """The zone that a sidecar is in, by its place among `zones`."""
+        return index % len(self.zones) if self.sidecars.zoned else 0
+
     @property
     def converter_count(self) -> int:
         return sum(group.count for group in self.converters)
--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -26,6 +26,7 @@
     storms,
 )
 from ryepier.experiments.contract import Claim, Experiment, Measured, Run, Scale
+from ryepier.experiments.load_spread import processes as load_spread_processes
 from ryepier.experiments.worlds import load
 
 FULL_FLEET = 3  # `full` has so many times the converters, sidecars and traffic of `small`
@@ -315,6 +316,7 @@
         *slicing.EXPERIMENTS,
         *graphql_front.EXPERIMENTS,
         *storms.EXPERIMENTS,
+        *load_spread_processes.EXPERIMENTS,
     )
 }
 MEASURED: dict[str, Measured] = {
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -19,6 +19,7 @@
 from ryepier.balancer import interface as api
 from ryepier.balancer.balancer import MOST_RETRIES, Balancer, Request, Server
 from ryepier.check.plants import held_answer
+from ryepier.experiments.load_spread import processes_planted as load_spread
 from ryepier.plan import compute, snapshot
 from ryepier.plan.compute import Planner
 from ryepier.plan.follow import Follower
@@ -394,6 +395,7 @@
     "last-writer": last_writer,
     "never-again": never_again,
     "whole-list": whole_list,
+    **load_spread.PLANTS,
 }
 
 
