Play a fleet of decision modules in virtual time, counted at the converters

Need: whether a fleet spreads its load evenly could not be measured without sockets, and not at all with hundreds of sidecars in seconds.

--- /dev/null
+++ b/ryepier/experiments/load_spread/measures.py
@@ -0,0 +1,84 @@
+"""How even a load is, judged beside chance, from the times at which converters received requests."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import numpy as np
+
+RARE = 1e-4  # a Poisson stream passes its own quantile in one of 10,000 windows
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """What converters received in one span of time."""
+
+    mean: float  # requests a converter
+    variation: float  # standard deviation over the mean
+    most: float  # over the mean
+    least: float
+
+    @property
+    def by_chance(self) -> float:
+        """The variation of as many independent draws over all converters."""
+        return 1.0 / math.sqrt(self.mean)
+
+    @property
+    def over_chance(self) -> float:
+        """The variation over that by chance: 1 is even."""
+        return self.variation / self.by_chance
+
+
+def spread(received_us: Sequence[Sequence[int]], begin_us: int, end_us: int) -> Spread:
+    """The spread over converters from `begin_us` to before `end_us`. Raises ValueError where nothing was received."""
+    counts = counts_in_windows(received_us, begin_us, end_us, end_us - begin_us)[:, 0]
+    mean = float(counts.mean())
+    if mean == 0:
+        raise ValueError("nothing was received")
+    return Spread(mean, float(counts.std()) / mean, float(counts.max()) / mean, float(counts.min()) / mean)
+
+
+def counts_in_windows(
+    received_us: Sequence[Sequence[int]], begin_us: int, end_us: int, window_us: int
+) -> np.ndarray[tuple[int, int], np.dtype[np.int64]]:
+    """Requests by converter and window; a last part shorter than a window is left out."""
+    windows = (end_us - begin_us) // window_us
+    edges = begin_us + window_us * np.arange(windows + 1, dtype=np.int64)
+    rows = [np.diff(np.searchsorted(np.asarray(times, dtype=np.int64), edges)) for times in received_us]
+    return np.asarray(rows, dtype=np.int64)
+
+
+def poisson_quantile(mean: float, beyond: float) -> int:
+    """The least count that a Poisson variable of this mean exceeds with a probability of at most `beyond`."""
+    count, term = 0, math.exp(-mean)
+    left = 1.0 - term
+    while left > beyond:
+        count += 1
+        term *= mean / count
+        left -= term
+    return count
+
+
+@dataclass(frozen=True, slots=True)
+class RareWindows:
+    """Windows whose count is rare for a Poisson stream, and how many of them chance allows."""
+
+    found: int
+    allowed: int
+
+
+def crowded_windows(received_us: Sequence[Sequence[int]], begin_us: int, end_us: int, window_us: int) -> RareWindows:
+    """Windows with more than a Poisson stream of the fleet's mean gives once in 10,000, and how many chance allows."""
+    counts = counts_in_windows(received_us, begin_us, end_us, window_us)
+    limit = poisson_quantile(float(counts.mean()), RARE)
+    return RareWindows(int((counts > limit).sum()), poisson_quantile(counts.size * RARE, RARE))
+
+
+def empty_windows(received_us: Sequence[Sequence[int]], begin_us: int, end_us: int, expected: float) -> RareWindows:
+    """Windows of a converter without a request where `expected` are to be, and the quantile of how many."""
+    total = int(counts_in_windows(received_us, begin_us, end_us, end_us - begin_us).sum())
+    window_us = min(end_us - begin_us, math.ceil(expected * len(received_us) * (end_us - begin_us) / max(1, total)))
+    counts = counts_in_windows(received_us, begin_us, end_us, window_us)
+    return RareWindows(int((counts == 0).sum()), poisson_quantile(counts.size * math.exp(-expected), RARE))
--- /dev/null
+++ b/ryepier/sim/fleet/world.py
@@ -0,0 +1,289 @@
+"""The plan of a fleet and its event loop. One seed, one run."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ryepier.balancer import interface as api
+from ryepier.sim.fleet.choosers import ChooserFactory, make_balancer
+from ryepier.sim.fleet.connections import ConnectionPool
+from ryepier.sim.fleet.converter import Converter, Job
+
+SECOND_US = 1_000_000
+START_US = 1_000 * SECOND_US  # so that no converter's start is before 0
+REFUSED_DIAL_US = 200  # a connection to a converter that is down
+IDLE_CHECK_US = SECOND_US
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """Converters that vanish together and come back as new processes."""
+
+    converters: int
+    at_us: int
+    told_after_us: int
+    back_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """A fleet, its load and what happens to it. Times are in microseconds from the start."""
+
+    sidecars: int
+    converters: int
+    load: float  # share of all converters' capacity that is asked for
+    duration_us: int
+    rate_exponent: float = 0.6  # the n-th busiest sidecar's rate goes by n to the minus this
+    places: int = 4
+    work_us: int = 100_000  # mean of the exponential work of a request
+    queue_limit: int = 32  # requests waiting at a converter; more are turned away
+    aim_us: int = 600_000
+    deadline_us: int = 1_500_000
+    idle_us: int = 5_000_000  # a connection idle for so long is closed
+    most_attempts: int = 3
+    warm_up_us: int = 0
+    cold_share: float = 1.0
+    overload_factor: float = 4.0
+    fall_us: int = 1_000_000
+    outages: tuple[Outage, ...] = ()
+
+    def rate_per_s(self) -> float:
+        """Requests a second of the whole fleet."""
+        return self.load * self.converters * self.places * SECOND_US / self.work_us
+
+    def rates_per_s(self) -> list[float]:
+        """Requests a second of each sidecar."""
+        parts = [(rank + 1) ** -self.rate_exponent for rank in range(self.sidecars)]
+        return [self.rate_per_s() * part / sum(parts) for part in parts]
+
+    def settings(self, index: int) -> api.Settings:
+        """What sidecar `index` is set to."""
+        return api.Settings(
+            classes=[api.RequestClass("read", self.aim_us, self.deadline_us, late_worth=0.3)],
+            instances=self.sidecars,
+            self_index=index,
+            max_attempts=self.most_attempts,
+            max_retry_after_us=2 * SECOND_US,
+            warm_up_us=self.warm_up_us,
+            cold_share=self.cold_share,
+            overload_factor=self.overload_factor,
+            fall_us=self.fall_us,
+        )
+
+
+@dataclass(slots=True)
+class Request:
+    """One client's request, as the client sees it."""
+
+    sidecar: int
+    arrived_us: int
+    work_us: int
+    jobs: list[Job] = field(default_factory=list)
+    ended_us: int = 0  # 0 = it is open
+    served: bool = False
+    refused: bool = False
+
+
+class FleetWorld:
+    """Plays a plan."""
+
+    def __init__(self, plan: FleetPlan, seed: int, factory: ChooserFactory = make_balancer) -> None:
+        """Set up the fleet at the plan's start; nothing has happened yet."""
+        self.plan = plan
+        self.factory = factory
+        self.random = random.Random(seed)
+        self.now_us = START_US
+        self.converters = [Converter(n, plan.places, plan.queue_limit) for n in range(plan.converters)]
+        seeds = [self.random.getrandbits(63) for _ in range(plan.sidecars)]
+        self.sidecars = [
+            factory(plan.settings(index), seeds[index], START_US, self.converters) for index in range(plan.sidecars)
+        ]
+        self.pools: dict[tuple[int, int], ConnectionPool] = {}  # by sidecar and converter
+        self.requests: list[Request] = []
+        self.counted_from_us = START_US
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._number = 0
+
+    def at(self, at_us: int, action: Callable[[], None]) -> None:
+        """Do something at a moment, after all that was set for the same moment before."""
+        self._number += 1
+        heapq.heappush(self._events, (at_us, self._number, action))
+
+    def play(self, count_from_us: int = 0) -> None:
+        """Run the whole plan; connections are counted from `count_from_us` (from the start) on."""
+        for index, rate_per_s in enumerate(self.plan.rates_per_s()):
+            self.tell(index, self.full_list())
+            self.schedule_arrival(index, rate_per_s)
+        for outage in self.plan.outages:
+            self.schedule_outage(outage)
+        self.at(START_US + IDLE_CHECK_US, self.close_idle)
+        self.at(START_US + count_from_us, self.restart_counts)
+        end_us = START_US + self.plan.duration_us
+        while self._events and self._events[0][0] <= end_us:
+            self.now_us, _, action = heapq.heappop(self._events)
+            action()
+        self.now_us = end_us
+
+    def restart_counts(self) -> None:
+        """Connections are counted from now on."""
+        self.counted_from_us = self.now_us
+        for converter in self.converters:
+            converter.connections.restart_counts(self.now_us)
+
+    # Sidecars
+
+    def entry(self, converter: Converter, state: api.UpstreamState = api.UpstreamState.READY) -> api.Upstream:
+        """The converter as discovery lists it."""
+        return api.Upstream(converter.ident, state, started_us=converter.started_us)
+
+    def full_list(self) -> api.UpstreamsUpdated:
+        """All converters that are up."""
+        return api.UpstreamsUpdated(api.ListKind.FULL, [self.entry(one) for one in self.converters if one.up])
+
+    def tell(self, sidecar: int, event: api.Event) -> None:
+        """Hand an event to a sidecar and carry out what it decides."""
+        for action in self.sidecars[sidecar].handle(self.now_us, event):
+            self.carry_out(sidecar, action)
+
+    def tell_all(self, event: api.Event) -> None:
+        """Hand an event to all sidecars."""
+        for index in range(len(self.sidecars)):
+            self.tell(index, event)
+
+    def carry_out(self, sidecar: int, action: api.Action) -> None:
+        """What a sidecar would do on sockets."""
+        if isinstance(action, api.Send):
+            self.send(sidecar, action)
+        elif isinstance(action, api.SetTimer):
+            timer = api.TimerFired(action.token)
+            self.at(max(action.at_us, self.now_us), lambda: self.tell(sidecar, timer))
+        elif isinstance(action, api.Refuse | api.Fail):
+            request = self.requests[action.request]
+            request.ended_us = self.now_us
+            request.refused = isinstance(action, api.Refuse)
+        elif isinstance(action, api.CloseIdle):
+            self.pool(sidecar, action.upstream).close_idle(self.now_us, self.now_us)
+
+    def schedule_arrival(self, sidecar: int, rate_per_s: float) -> None:
+        """The next request of a sidecar's clients, which come as a Poisson stream."""
+        gap_us = max(1, int(self.random.expovariate(rate_per_s) * SECOND_US))
+        work_us = max(1, int(self.random.expovariate(1.0) * self.plan.work_us))
+        self.at(self.now_us + gap_us, lambda: self.arrive(sidecar, rate_per_s, work_us))
+
+    def arrive(self, sidecar: int, rate_per_s: float, work_us: int) -> None:
+        """A request comes to a sidecar."""
+        self.schedule_arrival(sidecar, rate_per_s)
+        ident = len(self.requests)
+        self.requests.append(Request(sidecar, self.now_us, work_us))
+        due_us = self.now_us + self.plan.deadline_us
+        self.at(due_us, lambda: self.give_up(ident))
+        self.tell(sidecar, api.RequestArrived(ident, due_us))
+
+    def give_up(self, ident: int) -> None:
+        """The client waits no longer."""
+        request = self.requests[ident]
+        if request.ended_us:
+            return
+        request.ended_us = self.now_us
+        self.tell(request.sidecar, api.RequestGone(ident))
+
+    # Attempts
+
+    def pool(self, sidecar: int, converter: int) -> ConnectionPool:
+        """The connections between the two."""
+        key = (sidecar, converter)
+        if key not in self.pools:
+            self.pools[key] = ConnectionPool(self.converters[converter].connections)
+        return self.pools[key]
+
+    def send(self, sidecar: int, send: api.Send) -> None:
+        """An attempt goes out."""
+        request, converter = self.requests[send.request], self.converters[send.upstream]
+        job = Job(sidecar, send.request, len(request.jobs), request.work_us, self.now_us)
+        request.jobs.append(job)
+        if not converter.up:
+            self.at(self.now_us + REFUSED_DIAL_US, lambda: self.end(job, converter, api.Outcome.CONNECT_FAILED))
+            return
+        self.pool(sidecar, converter.ident).take(self.now_us)
+        if not converter.receive(job):
+            self.at(self.now_us + REFUSED_DIAL_US, lambda: self.end(job, converter, api.Outcome.FULL))
+            return
+        if send.timeout_us:
+            self.at(self.now_us + send.timeout_us, lambda: self.end(job, converter, api.Outcome.TIMEOUT))
+        self.begin(converter)
+
+    def begin(self, converter: Converter) -> None:
+        """Start what the free places can take."""
+        while (job := converter.begin_next()) is not None:
+            work_us = int(job.work_us / self.warmth(converter))
+            self.at(self.now_us + work_us, lambda job=job: self.work_done(job, converter))  # type: ignore[misc]
+
+    def work_done(self, job: Job, converter: Converter) -> None:
+        """A place is free again."""
+        if job not in converter.working:
+            return  # lost in an outage
+        converter.working.remove(job)
+        self.end(job, converter, api.Outcome.OK)
+        self.begin(converter)
+
+    def end(self, job: Job, converter: Converter, outcome: api.Outcome) -> None:
+        """An attempt has ended for its sidecar; later ends of the same attempt are nothing."""
+        if job.abandoned:
+            return
+        job.abandoned = True
+        if outcome is not api.Outcome.CONNECT_FAILED:
+            reusable = outcome in (api.Outcome.OK, api.Outcome.FULL)
+            self.pool(job.sidecar, converter.ident).give_back(self.now_us, reusable)
+        request = self.requests[job.request]
+        final = outcome is api.Outcome.OK and not request.ended_us
+        if final:
+            request.ended_us, request.served = self.now_us, True
+        elapsed_us = self.now_us - job.received_us
+        ended = api.AttemptEnded(job.request, job.attempt, converter.ident, outcome, elapsed_us, final)
+        self.tell(job.sidecar, ended)
+
+    # Converters
+
+    def warmth(self, converter: Converter) -> float:
+        """The share of its speed that a converter has after its start."""
+        age_us = self.now_us - converter.started_us
+        if converter.started_us == 0 or age_us >= self.plan.warm_up_us:
+            return 1.0
+        return self.plan.cold_share + (1.0 - self.plan.cold_share) * age_us / self.plan.warm_up_us
+
+    def schedule_outage(self, outage: Outage) -> None:
+        """Random converters go down together, are told gone, and come back."""
+        chosen = self.random.sample(self.converters, outage.converters)
+        self.at(START_US + outage.at_us, lambda: self.go_down(chosen))
+        self.at(START_US + outage.at_us + outage.told_after_us, lambda: self.tell_gone(chosen))
+        self.at(START_US + outage.back_us, lambda: self.come_back(chosen))
+
+    def go_down(self, chosen: list[Converter]) -> None:
+        """Connections to them break."""
+        for converter in chosen:
+            for job in converter.stop():
+                self.end(job, converter, api.Outcome.RESET)
+            for (_, ident), pool in self.pools.items():
+                if ident == converter.ident:
+                    pool.close_idle(self.now_us, self.now_us)
+
+    def tell_gone(self, chosen: list[Converter]) -> None:
+        """Discovery says so."""
+        gone = [self.entry(converter, api.UpstreamState.GONE) for converter in chosen]
+        self.tell_all(api.UpstreamsUpdated(api.ListKind.DELTA, gone))
+
+    def come_back(self, chosen: list[Converter]) -> None:
+        """New processes are up and listed."""
+        for converter in chosen:
+            converter.up, converter.started_us = True, self.now_us
+        self.tell_all(api.UpstreamsUpdated(api.ListKind.DELTA, [self.entry(converter) for converter in chosen]))
+
+    def close_idle(self) -> None:
+        """Connections that were idle for long are closed."""
+        for pool in self.pools.values():
+            if pool.idle_since_us:
+                pool.close_idle(self.now_us, self.now_us - self.plan.idle_us)
+        self.at(self.now_us + IDLE_CHECK_US, self.close_idle)
--- /dev/null
+++ b/tests/test_load_spread.py
@@ -0,0 +1,126 @@
+"""The rig that judges how evenly a fleet spreads its load."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from ryepier.balancer import interface as api
+from ryepier.experiments.load_spread import measures
+from ryepier.sim.fleet import choosers
+from ryepier.sim.fleet.connections import ConnectionCounter, ConnectionPool
+from ryepier.sim.fleet.converter import Converter, Job
+from ryepier.sim.fleet.world import SECOND_US, START_US, FleetPlan, FleetWorld, Outage
+
+PLAN = FleetPlan(sidecars=30, converters=20, load=0.5, duration_us=6 * SECOND_US)
+
+
+def received(world: FleetWorld) -> list[list[int]]:
+    return [converter.received_us for converter in world.converters]
+
+
+def test_random_choice_spreads_by_chance_and_all_is_served() -> None:
+    world = FleetWorld(PLAN, 1, choosers.make_random)
+    world.play()
+    found = measures.spread(received(world), START_US, world.now_us)
+    assert 0.5 < found.over_chance < 1.5  # 20 converters: the deviation itself is off by a sixth
+    ended = [request for request in world.requests if request.ended_us]
+    assert len(ended) > 0.95 * len(world.requests)
+    assert sum(request.served for request in ended) > 0.98 * len(ended)
+
+
+def test_the_shortest_queue_keeps_answers_quicker_than_random_choice() -> None:
+    def mean_us(factory: choosers.ChooserFactory) -> float:
+        world = FleetWorld(PLAN, 2, factory)
+        world.play()
+        times = [one.ended_us - one.arrived_us for one in world.requests if one.served]
+        return sum(times) / len(times)
+
+    assert mean_us(choosers.make_shortest) < mean_us(choosers.make_random)
+
+
+def test_one_seed_is_one_run() -> None:
+    first, second = FleetWorld(PLAN, 3), FleetWorld(PLAN, 3)
+    first.play()
+    second.play()
+    assert received(first) == received(second)
+
+
+def test_all_that_comes_is_ended_once_and_work_is_bounded_by_the_places() -> None:
+    world = FleetWorld(FleetPlan(sidecars=20, converters=5, load=3.0, duration_us=4 * SECOND_US), 4)
+    world.play()
+    due_us = world.now_us - world.plan.deadline_us
+    assert all(request.ended_us for request in world.requests if request.arrived_us < due_us)
+    assert all(len(converter.working) <= converter.places for converter in world.converters)
+    assert sum(request.refused for request in world.requests) > 0
+
+
+def test_converters_that_vanish_get_nothing_until_they_are_back() -> None:
+    outage = Outage(converters=4, at_us=SECOND_US, told_after_us=SECOND_US // 2, back_us=3 * SECOND_US)
+    plan = FleetPlan(sidecars=10, converters=10, load=0.3, duration_us=5 * SECOND_US, outages=(outage,))
+    world = FleetWorld(plan, 5, choosers.make_random)
+    world.play()
+    back = [converter for converter in world.converters if converter.started_us]
+    assert len(back) == 4
+    away = (START_US + outage.at_us, START_US + outage.back_us)
+    assert all(not away[0] < at_us < away[1] for converter in back for at_us in converter.received_us)
+    assert all(converter.received_us[-1] > away[1] for converter in back)
+
+
+def test_a_converter_queues_beyond_its_places_and_turns_away_beyond_its_queue() -> None:
+    converter = Converter(0, places=1, queue_limit=1)
+    jobs = [Job(0, n, 0, 10, n) for n in range(3)]
+    assert converter.receive(jobs[0]) and converter.begin_next() is jobs[0]
+    assert converter.receive(jobs[1]) and not converter.receive(jobs[2])
+    assert (converter.load, converter.turned_away, converter.begin_next()) == (2, 1, None)
+    assert converter.stop() == jobs[:2] and converter.load == 0
+
+
+def test_connections_are_counted_while_they_are_open() -> None:
+    counter = ConnectionCounter()
+    pool = ConnectionPool(counter)
+    pool.take(0)
+    pool.take(0)
+    pool.give_back(10, reusable=True)
+    pool.give_back(10, reusable=False)
+    pool.take(20)  # on the idle one
+    pool.give_back(30, reusable=True)
+    pool.close_idle(50, idle_before_us=30)
+    assert (counter.opened, counter.most_open, counter.open) == (2, 2, 0)
+    assert counter.mean_open(0, 100) == pytest.approx((2 * 10 + 1 * 40) / 100)
+
+
+def test_a_reference_keeps_to_the_list() -> None:
+    converters = [Converter(n, 4, 4) for n in range(3)]
+    chooser = choosers.RandomChoice(1, converters)
+    chooser.handle(0, api.UpstreamsUpdated(api.ListKind.FULL, [api.Upstream(n) for n in range(3)]))
+    gone = [api.Upstream(n, api.UpstreamState.GONE) for n in (0, 2)]
+    chooser.handle(0, api.UpstreamsUpdated(api.ListKind.DELTA, gone))
+    assert chooser.handle(0, api.RequestArrived(7, 10)) == [api.Send(7, 1)]
+
+
+@pytest.mark.parametrize(("mean", "beyond"), [(0.5, 1e-4), (2.0, 1e-4), (12.0, 1e-2)])
+def test_a_poisson_quantile_is_the_least_count_that_is_passed_so_seldom(mean: float, beyond: float) -> None:
+    def passed(count: int) -> float:
+        return 1.0 - sum(math.exp(-mean) * mean**k / math.factorial(k) for k in range(count + 1))
+
+    found = measures.poisson_quantile(mean, beyond)
+    assert passed(found) <= beyond < passed(found - 1)
+
+
+def test_a_herd_and_an_idle_converter_are_found() -> None:
+    even = [[10 * n + k for n in range(200)] for k in range(5)]
+    herd = [*even[:4], sorted(even[4] + [1000] * 40 + [1500] * 40)]
+    idle = [*even[:4], [at for at in even[4] if at < 1000]]
+    assert measures.crowded_windows(even, 0, 2000, 100).found == 0
+    crowded = measures.crowded_windows(herd, 0, 2000, 100)
+    assert crowded.found > crowded.allowed
+    assert measures.empty_windows(even, 0, 2000, 12).found == 0
+    empty = measures.empty_windows(idle, 0, 2000, 12)
+    assert empty.found > empty.allowed
+
+
+def test_nothing_received_is_an_error() -> None:
+    with pytest.raises(ValueError, match="nothing was received"):
+        measures.spread([[], []], 0, 10)
