--- a/ryepier/experiments/load_spread/__init__.py
+++ b/ryepier/experiments/load_spread/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments on how evenly a fleet of sidecars spreads its load over converters."""
+"""How evenly a fleet of sidecars, each of which sees little of the load, spreads it over the converters."""
--- a/ryepier/experiments/load_spread/processes_figures.py
+++ b/ryepier/experiments/load_spread/processes_figures.py
@@ -13,10 +13,10 @@
 
 from ryepier.emulator.records import NEVER, Attempt, ConnectionLife, History
 from ryepier.emulator.timeline import Instance
+from ryepier.experiments.load_spread.measures import RARE, poisson_quantile
 
 BURST_US = 100_000
 RATE_US = 1_000_000  # the rate that a burst is judged by is taken as even for so long
-RARE = 1e-4  # a window with more starts than a Poisson stream gives with this chance is a burst
 RUNS_APART = 1e-3  # chance that a fleet that spreads by independent draws fails a bound
 
 
@@ -54,19 +54,6 @@
     mean: float  # of each converter's most
 
 
-def poisson_quantile(mean: float, beyond: float) -> int:
-    """The least count that a Poisson variable exceeds with at most this chance."""
-    count, term = 0, math.exp(-mean)
-    left = 1.0 - term
-    while left > beyond:
-        count += 1
-        term *= mean / count
-        if term < beyond * 1e-6 and count > mean:
-            break  # what is left is below the rounding of the sum
-        left -= term
-    return count
-
-
 def received(attempts: Iterable[Attempt]) -> list[Attempt]:
     """Those that reached their converter: run there, or turned away by it."""
     return [attempt for attempt in attempts if attempt.run_us != NEVER or attempt.not_run]
--- a/tests/test_load_spread_processes.py
+++ b/tests/test_load_spread_processes.py
@@ -177,12 +177,6 @@
 # Figures, by hand
 
 
-def test_a_poisson_quantile_is_the_least_count_that_is_rare_to_exceed() -> None:
-    # P(X > 8) = 2.4e-4 and P(X > 9) = 4.6e-5 for a mean of 2, by the tables
-    assert spread.poisson_quantile(2.0, 1e-4) == 9 and spread.poisson_quantile(2.0, 3e-4) == 8
-    assert spread.poisson_quantile(0.0, 1e-4) == 0 and spread.poisson_quantile(0.2, 1e-4) == 3
-
-
 def test_evenness_stands_beside_chance() -> None:
     even = spread.evenness([[100, 110, 90], [100, 90, 110]])
     assert even.by_chance == pytest.approx(0.1) and even.variation == pytest.approx(0.1)
