--- a/tests/test_load_spread_processes.py
+++ b/tests/test_load_spread_processes.py
@@ -174,6 +174,20 @@
     assert 0 < to_struck <= to_all / 9 * len(uids) * 1.3
 
 
+@pytest.mark.parametrize("zone, zoned", [("d", True), ("a", False)])
+def test_a_cut_needs_a_zone_of_the_world_and_sidecars_in_zones(zone: str, zoned: bool) -> None:
+    cut = Fault(kind="zone-cut", at_s=1.0, for_s=1.0, zone=zone)
+    with pytest.raises(ValueError, match="zone: expected one of a, b, c, and sidecars that are zoned"):
+        world = a_world()
+        msgspec.structs.replace(world, sidecars=msgspec.structs.replace(world.sidecars, zoned=zoned), faults=[cut])
+
+
+def test_agents_with_an_old_list_need_the_platforms_form_of_it() -> None:
+    stale = Fault(kind="discovery-stale", at_s=1.0, for_s=1.0)
+    with pytest.raises(ValueError, match="only where the list comes from the platform's agents"):
+        msgspec.structs.replace(a_world(), discovery=Discovery(slice_size=10), faults=[stale])
+
+
 # Figures, by hand
 
 
