--- a/ryepier/conf/check.py
+++ b/ryepier/conf/check.py
@@ -58,7 +58,7 @@
     problems: list[Problem] = []
     if environment is not None:
         problems += _override(data, environment, prefix)
-    walk = _Walk(_lines_of_keys(text))
+    walk = _Walk(KeyLines(text))
     result = walk.struct(schema, data, ())
     problems += walk.problems
     if problems or not isinstance(result, schema):
@@ -74,6 +74,21 @@
     return text
 
 
+class KeyLines:
+    """Where the keys of a TOML text stand, for problems that only show when several tables are read together."""
+
+    def __init__(self, text: str) -> None:
+        """Find the keys of `text`, which need not be valid TOML."""
+        self._lines = _lines_of_keys(text)
+
+    def problem(self, path: Path, text: str) -> Problem:
+        """The problem `text` at the key `path`, or at the nearest table above it that the file names."""
+        at = path
+        while at and at not in self._lines:
+            at = at[:-1]
+        return Problem(spell(path), self._lines.get(at, 0), text)
+
+
 def _override(data: dict[str, Any], environment: Mapping[str, str], prefix: str) -> list[Problem]:
     """Put the variables into `data`; their values are read as TOML, and as plain text where they are none."""
     problems = []
@@ -132,15 +147,12 @@
 class _Walk:
     """One pass over the tables; what is wrong is collected, and nothing is raised."""
 
-    def __init__(self, lines: dict[Path, int]) -> None:
+    def __init__(self, lines: KeyLines) -> None:
         self.lines = lines
         self.problems: list[Problem] = []
 
     def problem(self, path: Path, text: str) -> None:
-        at = path
-        while at and at not in self.lines:
-            at = at[:-1]
-        self.problems.append(Problem(spell(path), self.lines.get(at, 0), text))
+        self.problems.append(self.lines.problem(path, text))
 
     def struct(self, schema: type[msgspec.Struct], data: Any, path: Path) -> msgspec.Struct | None:
         if not isinstance(data, dict):
--- /dev/null
+++ b/ryepier/maintenance/results.py
@@ -0,0 +1,109 @@
+"""What applying a command gave. A refused command has changed nothing."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ryepier.maintenance.commands import Transfer
+
+
+class Accepted(msgspec.Struct, tag="accepted", tag_field="type", frozen=True):
+    """The request is open."""
+
+    request: str
+
+
+class Cancelled(msgspec.Struct, tag="cancelled", tag_field="type", frozen=True):
+    """The request gets no further leases; `called_off` names those that were taken back."""
+
+    request: str
+    called_off: tuple[str, ...] = ()
+
+
+class Granted(msgspec.Struct, tag="granted", tag_field="type", frozen=True):
+    """The agent holds the lease under this fencing token."""
+
+    lease: str
+    agent: str
+    token: int
+    converters: tuple[str, ...]
+
+
+class Begun(msgspec.Struct, tag="begun", tag_field="type", frozen=True):
+    """The holder may drain."""
+
+    lease: str
+
+
+class Released(msgspec.Struct, tag="released", tag_field="type", frozen=True):
+    """The holder is done; `waiting` names converters that have not been seen ready and warm since."""
+
+    lease: str
+    waiting: tuple[str, ...]
+
+
+class CalledOff(msgspec.Struct, tag="called-off", tag_field="type", frozen=True):
+    """The lease was taken back before its drain began."""
+
+    lease: str
+
+
+class Observed(msgspec.Struct, tag="observed", tag_field="type", frozen=True):
+    """The observation counts; it closed the leases `closed`, and a loss called off those in `called_off`."""
+
+    closed: tuple[str, ...] = ()
+    called_off: tuple[str, ...] = ()
+
+
+class Debited(msgspec.Struct, tag="debited", tag_field="type", frozen=True):
+    """The transfer may be sent, again and again, until it is acknowledged."""
+
+    transfer: Transfer
+
+
+class Credited(msgspec.Struct, tag="credited", tag_field="type", frozen=True):
+    """The receiver has counted the transfer, now or before; the giver may be told."""
+
+    transfer: Transfer
+
+
+class Acknowledged(msgspec.Struct, tag="acknowledged", tag_field="type", frozen=True):
+    """The giver need not send the transfer again."""
+
+    transfer: Transfer
+
+
+class Advanced(msgspec.Struct, tag="advanced", tag_field="type", frozen=True):
+    """The region's time after the command; `missed` names requests that were given up at their deadline."""
+
+    now_ms: int
+    missed: tuple[str, ...] = ()
+
+
+class AlreadyApplied(msgspec.Struct, tag="already-applied", tag_field="type", frozen=True):
+    """The entry at this index was applied before."""
+
+    index: int
+
+
+class Refused(msgspec.Struct, tag="refused", tag_field="type", frozen=True):
+    """Nothing was changed; one line that names what is in the way."""
+
+    reason: str
+
+
+Result = (
+    Accepted
+    | Cancelled
+    | Granted
+    | Begun
+    | Released
+    | CalledOff
+    | Observed
+    | Debited
+    | Credited
+    | Acknowledged
+    | Advanced
+    | AlreadyApplied
+    | Refused
+)
--- /dev/null
+++ b/ryepier/maintenance/tables.py
@@ -0,0 +1,108 @@
+"""The state machines of leases and transfers: every state, event and next state in one place.
+
+`print(LEASES)` shows a table; an event that a state does not list is refused there.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+State = TypeVar("State", bound=enum.StrEnum)
+Event = TypeVar("Event", bound=enum.StrEnum)
+
+
+@dataclass(frozen=True)
+class StateTable(Generic[State, Event]):
+    """A state machine as (state, event) to next state."""
+
+    title: str
+    transitions: Mapping[tuple[State, Event], State]
+
+    def after(self, state: State, event: Event) -> State | None:
+        """The next state, or None where the event is refused."""
+        return self.transitions.get((state, event))
+
+    def __str__(self) -> str:
+        """The table as Markdown, one line a transition."""
+        lines = [f"{self.title}", "", "| state | event | next state |", "| --- | --- | --- |"]
+        lines += [f"| {state} | {event} | {after} |" for (state, event), after in self.transitions.items()]
+        return "\n".join(lines)
+
+
+class LeaseState(enum.StrEnum):
+    """Of a lease. In all states but `closed` its converters that have not come back are charged as out."""
+
+    GRANTED = "granted"  # the drain has not begun
+    DRAINING = "draining"  # the holder may have converters down
+    RETURNING = "returning"  # the holder is done; converters have yet to be seen ready and warm
+    CALLED_OFF = "called-off"  # taken back before the drain; converters have yet to be seen ready and warm
+    CLOSED = "closed"
+
+
+class LeaseEvent(enum.StrEnum):
+    """What happens to a lease."""
+
+    BEGIN = "begin"
+    TAKE_OVER = "take over"
+    RELEASE = "release"
+    CALL_OFF = "call off"
+    ALL_BACK = "all seen ready and warm"
+
+
+LEASES = StateTable(
+    "Lease",
+    {
+        (LeaseState.GRANTED, LeaseEvent.BEGIN): LeaseState.DRAINING,
+        (LeaseState.GRANTED, LeaseEvent.TAKE_OVER): LeaseState.GRANTED,
+        (LeaseState.GRANTED, LeaseEvent.CALL_OFF): LeaseState.CALLED_OFF,
+        (LeaseState.DRAINING, LeaseEvent.BEGIN): LeaseState.DRAINING,
+        (LeaseState.DRAINING, LeaseEvent.TAKE_OVER): LeaseState.DRAINING,
+        (LeaseState.DRAINING, LeaseEvent.RELEASE): LeaseState.RETURNING,
+        (LeaseState.RETURNING, LeaseEvent.RELEASE): LeaseState.RETURNING,
+        (LeaseState.RETURNING, LeaseEvent.ALL_BACK): LeaseState.CLOSED,
+        (LeaseState.CALLED_OFF, LeaseEvent.CALL_OFF): LeaseState.CALLED_OFF,
+        (LeaseState.CALLED_OFF, LeaseEvent.ALL_BACK): LeaseState.CLOSED,
+    },
+)
+
+
+class TransferState(enum.StrEnum):
+    """Of a transfer, as one of its two sides knows it."""
+
+    UNKNOWN = "unknown"
+    DEBITED = "debited"  # giver: taken from its allowance; sent until it is acknowledged
+    ACKNOWLEDGED = "acknowledged"  # giver: the receiver has committed the credit
+    CREDITED = "credited"  # receiver: added to its allowance
+
+
+class TransferEvent(enum.StrEnum):
+    """What happens to a transfer on one of its sides."""
+
+    DEBIT = "debit"
+    SEND = "send"
+    CREDIT = "credit"
+    ACKNOWLEDGE = "acknowledge"
+
+
+GIVER = StateTable(
+    "Transfer, at the giver",
+    {
+        (TransferState.UNKNOWN, TransferEvent.DEBIT): TransferState.DEBITED,
+        (TransferState.DEBITED, TransferEvent.DEBIT): TransferState.DEBITED,
+        (TransferState.DEBITED, TransferEvent.SEND): TransferState.DEBITED,
+        (TransferState.DEBITED, TransferEvent.ACKNOWLEDGE): TransferState.ACKNOWLEDGED,
+        (TransferState.ACKNOWLEDGED, TransferEvent.DEBIT): TransferState.ACKNOWLEDGED,
+        (TransferState.ACKNOWLEDGED, TransferEvent.ACKNOWLEDGE): TransferState.ACKNOWLEDGED,
+    },
+)
+
+RECEIVER = StateTable(
+    "Transfer, at the receiver",
+    {
+        (TransferState.UNKNOWN, TransferEvent.CREDIT): TransferState.CREDITED,
+        (TransferState.CREDITED, TransferEvent.CREDIT): TransferState.CREDITED,
+    },
+)
--- /dev/null
+++ b/tests/maintenance_world.py
@@ -0,0 +1,116 @@
+"""A small agreement and what its tests share."""
+
+from __future__ import annotations
+
+from ryepier.maintenance import agreement
+from ryepier.maintenance.agreement import Agreement
+from ryepier.maintenance.commands import (
+    FULL_WARMTH,
+    BeginDrain,
+    Command,
+    GrantLease,
+    Priority,
+    RecordObservation,
+    ReleaseLease,
+    Request,
+    Sighting,
+    SubmitRequest,
+)
+from ryepier.maintenance.ledger import Ledger
+from ryepier.maintenance.results import Granted, Result
+
+SERVICE = """
+[[services]]
+name = "convert"
+least = 8
+least_part = 0.5
+warm_up_s = 2
+[[services.regions]]
+region = "north"
+least = 3
+allowance = 2
+[[services.regions]]
+region = "south"
+least = 3
+allowance = 2
+"""
+
+
+def regions_text(names: tuple[str, ...] = ("north", "south")) -> str:
+    lines = []
+    for i, name in enumerate(names):
+        lines.append(f'[[regions]]\nname = "{name}"')
+        for j in range(3):
+            lines.append(f'[[regions.replicas]]\nname = "{name}-{j}"\naddress = "127.0.0.1:{7500 + 10 * i + j}"')
+    return "\n".join(lines) + "\n"
+
+
+def converters_text(names: tuple[str, ...] = ("north", "south"), zones: int = 2, each: int = 3) -> str:
+    return "".join(
+        f'[[converters]]\nname = "{region[0]}{zone}{i}"\nservice = "convert"\nregion = "{region}"\nzone = "z{zone}"\n'
+        for region in names
+        for zone in range(zones)
+        for i in range(each)
+    )
+
+
+TEXT = SERVICE + regions_text() + converters_text()  # 12 converters of size 1: n00..n02, n10..n12, s00..s12
+
+
+def small_agreement() -> Agreement:
+    return agreement.parse(TEXT.encode())
+
+
+def request(name: str = "r1", **changes: object) -> Request:
+    fields: dict[str, object] = {
+        "name": name,
+        "region": "north",
+        "service": "convert",
+        "converters": ("n00",),
+        "at_once": 1,
+        "duration_ms": 10_000,
+        "earliest_ms": 0,
+        "deadline_ms": 100_000,
+        "priority": Priority.NORMAL,
+    }
+    return Request(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+class Region:
+    """A ledger with its log's next index, and an observer that has heard of all of it."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+
+    def apply(self, command: Command) -> Result:
+        return self.ledger.apply(self.ledger.applied + 1, command)
+
+    def see(self, *names: str, ready: bool = True, warmth: int = FULL_WARMTH, as_of: int | None = None) -> Result:
+        heard = self.ledger.applied if as_of is None else as_of
+        sightings = tuple(Sighting(name, ready, warmth) for name in names)
+        return self.apply(RecordObservation("watch", self.ledger.applied + 1, heard, sightings))
+
+    def see_all(self) -> Result:
+        region = self.ledger.region
+        return self.see(*[one.name for one in self.ledger.agreement.converters.values() if one.region == region])
+
+    def grant(self, lease: str, request_name: str, *converters: str, agent: str = "agent-1") -> Result:
+        return self.apply(GrantLease(lease, request_name, agent, converters))
+
+    def hold(self, name: str, *converters: str) -> Granted:
+        """A new request with a lease on all its converters."""
+        self.apply(SubmitRequest(request(name, converters=converters, at_once=len(converters))))
+        result = self.grant(f"{name}/1", name, *converters)
+        assert isinstance(result, Granted), result
+        return result
+
+    def drain_and_release(self, granted: Granted) -> None:
+        self.apply(BeginDrain(granted.lease, granted.token))
+        self.apply(ReleaseLease(granted.lease, granted.token))
+
+
+def north(ledger_type: type[Ledger] = Ledger) -> Region:
+    """Region north with all its converters seen ready and warm."""
+    region = Region(ledger_type(small_agreement(), "north"))
+    region.see_all()
+    return region
--- /dev/null
+++ b/tests/test_maintenance_ledger.py
@@ -0,0 +1,292 @@
+"""One region's ledger: leases, fencing tokens, losses, limits, and what it refuses."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from ryepier.maintenance import agreement, commands, state
+from ryepier.maintenance.commands import (
+    AcknowledgeTransfer,
+    AdvanceTime,
+    BeginDrain,
+    CallOff,
+    CancelRequest,
+    Command,
+    CommandError,
+    CreditTransfer,
+    DebitTransfer,
+    GrantLease,
+    RecordObservation,
+    RecordStanding,
+    ReleaseLease,
+    Sighting,
+    Standing,
+    SubmitRequest,
+    TakeOverLease,
+    Transfer,
+)
+from ryepier.maintenance.ledger import Ledger
+from ryepier.maintenance.results import (
+    Accepted,
+    Advanced,
+    AlreadyApplied,
+    CalledOff,
+    Cancelled,
+    Granted,
+    Observed,
+    Refused,
+    Released,
+)
+from ryepier.maintenance.tables import GIVER, LEASES, RECEIVER, LeaseState
+
+from .maintenance_world import TEXT, Region, north, request, small_agreement
+
+
+def test_a_lease_is_charged_until_its_converter_has_been_seen_ready_and_warm() -> None:
+    region = north()
+    granted = region.hold("r1", "n00")
+    assert region.ledger.capacity("convert").out == 1000
+    region.see("n00")  # still up: the drain has not begun, or not reached it
+    region.apply(BeginDrain("r1/1", granted.token))
+    region.apply(AdvanceTime(10_000_000))
+    region.see("n00")
+    before_release = region.ledger.applied
+    assert region.apply(ReleaseLease("r1/1", granted.token)) == Released("r1/1", ("n00",))
+    region.see("n00", as_of=before_release)  # seen before the holder was done: it may have gone down since
+    region.see("n00", ready=False)
+    region.see("n00", warmth=999)
+    assert region.ledger.capacity("convert").out == 1000
+    assert region.see("n00") == Observed(("r1/1",))
+    assert region.ledger.capacity("convert").out == 0 and region.ledger.open_leases() == []
+    assert region.apply(SubmitRequest(request("r1"))) == Accepted("r1"), "a finished request is known"
+
+
+def test_a_grant_repeated_is_the_same_grant_and_an_index_is_applied_once() -> None:
+    region = north()
+    first = region.hold("r1", "n00")
+    assert region.grant("r1/1", "r1", "n00") == first
+    assert isinstance(region.grant("r1/1", "r1", "n00", agent="agent-2"), Refused)
+    taken = region.ledger.snapshot()
+    assert region.ledger.apply(3, CallOff("r1/1")) == AlreadyApplied(3) and region.ledger.snapshot() == taken
+    region.drain_and_release(first)
+    assert isinstance(region.grant("r1/1", "r1", "n00"), Refused)
+    region.see("n00")
+    assert isinstance(region.grant("r1/1", "r1", "n00"), Refused)
+
+
+def test_tokens_grow_and_an_old_one_is_refused() -> None:
+    region = north()
+    first = region.hold("r1", "n00")
+    second = region.apply(TakeOverLease("r1/1", "agent-2", first.token))
+    assert isinstance(second, Granted) and second.token > first.token
+    assert region.apply(TakeOverLease("r1/1", "agent-2", first.token)) == second, "told twice"
+    for command in (
+        BeginDrain("r1/1", first.token),
+        ReleaseLease("r1/1", first.token),
+        TakeOverLease("r1/1", "agent-3", first.token),
+    ):
+        result = region.apply(command)
+        assert isinstance(result, Refused) and f"token {first.token}" in result.reason
+    assert region.ledger.token_of("n00") == second.token
+    region.drain_and_release(second)
+    assert region.ledger.token_of("n00") == 0
+    assert region.hold("r2", "n01").token > second.token
+
+
+def test_a_called_off_lease_is_charged_until_a_later_look_and_can_be_granted_anew() -> None:
+    region = north()
+    granted = region.hold("r1", "n00")
+    assert region.apply(CallOff("r1/1")) == CalledOff("r1/1")
+    assert isinstance(region.apply(BeginDrain("r1/1", granted.token)), Refused)
+    assert region.ledger.capacity("convert").out == 1000
+    assert region.see("n00") == Observed(("r1/1",))
+    assert isinstance(region.grant("r1/2", "r1", "n00"), Granted)
+    region.apply(BeginDrain("r1/2", granted.token + 1))
+    result = region.apply(CallOff("r1/2"))
+    assert isinstance(result, Refused) and "draining" in result.reason
+
+
+def test_losses_are_charged_first_and_call_off_drains_that_have_not_begun() -> None:
+    region = north()
+    begun = region.hold("r1", "n00")
+    region.apply(BeginDrain("r1/1", begun.token))
+    region.hold("r2", "n01")
+    region.apply(SubmitRequest(request("r3", converters=("n02",))))
+    assert region.see("n10", ready=False) == Observed((), ("r2/1",))
+    assert region.ledger.is_under_agreement("convert")
+    assert region.ledger.capacity("convert").lost == 1000
+    region.see("n10", warmth=500)  # back, and cold
+    assert region.ledger.capacity("convert").lost == 500
+    region.see("n01")  # the called-off one is free: 1 out, 0.5 lost, 2 allowed
+    result = region.grant("r3/1", "r3", "n02")
+    assert isinstance(result, Refused) and "0.5 too much" in result.reason and "allowance" in result.reason
+    region.see("n10")
+    assert isinstance(region.grant("r3/1", "r3", "n02"), Granted)
+
+
+def test_converters_that_were_never_seen_are_not_counted_on() -> None:
+    region = Region(Ledger(small_agreement(), "north"))
+    region.apply(SubmitRequest(request()))
+    assert isinstance(region.grant("r1/1", "r1", "n00"), Refused)
+
+
+def test_a_deficit_elsewhere_stops_grants_here_until_it_is_told_to_be_over() -> None:
+    region = north()
+    region.hold("r1", "n00")
+    told = region.apply(RecordStanding("south", 5, {"convert": Standing(deficit=2000)}))
+    assert told == Observed((), ("r1/1",))
+    region.apply(SubmitRequest(request("r2", converters=("n01",))))
+    assert isinstance(region.grant("r2/1", "r2", "n01"), Refused)
+    assert isinstance(region.apply(RecordStanding("south", 4, {})), Refused), "an older word"
+    region.apply(RecordStanding("south", 6, {}))
+    assert isinstance(region.grant("r2/1", "r2", "n01"), Granted)
+
+
+def test_survives_zone_keeps_the_agreement_with_the_largest_zone_lost() -> None:
+    text = TEXT.replace("least = 8\n", 'least = 7\nsurvives = "zone"\n').replace("least = 3", "least = 2")
+    text = text.replace("allowance = 2", "allowance = 1")
+    region = Region(Ledger(agreement.parse(text.encode()), "north"))
+    region.see_all()
+    region.hold("r1", "n00")  # zone 0 has 2 left, so losing zone 1 leaves 2
+    region.apply(CreditTransfer(Transfer("south", "north", 1, "convert", 1000)))
+    region.apply(SubmitRequest(request("r2", converters=("n01",))))
+    result = region.grant("r2/1", "r2", "n01")
+    assert isinstance(result, Refused) and "without zone 'z1'" in result.reason
+    region.hold("r3", "n10")
+
+
+def test_cancelling_calls_off_what_has_not_begun_and_lets_the_rest_end() -> None:
+    region = north()
+    granted = region.hold("r1", "n00")
+    region.hold("r2", "n01")
+    region.apply(BeginDrain("r1/1", granted.token))
+    assert region.apply(CancelRequest("r1")) == Cancelled("r1")
+    assert region.apply(CancelRequest("r2")) == Cancelled("r2", ("r2/1",))
+    assert region.ledger.open_requests() == [] and len(region.ledger.open_leases()) == 2
+    region.apply(ReleaseLease("r1/1", granted.token))
+    assert region.see("n00", "n01") == Observed(("r1/1", "r2/1"))
+    assert isinstance(region.apply(CancelRequest("r1")), Cancelled)
+
+
+def test_a_request_that_missed_its_deadline_is_put_away_and_time_only_goes_on() -> None:
+    region = north()
+    region.apply(SubmitRequest(request()))
+    assert region.apply(AdvanceTime(100_001)) == Advanced(100_001, ("r1",))
+    assert region.apply(AdvanceTime(5)) == Advanced(100_001)
+    assert isinstance(region.grant("r1/1", "r1", "n00"), Refused)
+
+
+@pytest.mark.parametrize(
+    ("changes", "told"),
+    [
+        ({"service": "print"}, "unknown service 'print'"),
+        ({"region": "south"}, "for region 'south'"),
+        ({"converters": ("n00", "n99")}, "'n99' is none of service"),
+        ({"converters": ("s00",)}, "'s00' is none of service"),
+        ({"converters": ("n00", "n00")}, "'n00' is named twice"),
+        ({"converters": ("n05", "n12")}, "'n05' is none of service"),
+        ({"converters": ("n12",)}, "'n12' is in request 'held'"),
+        ({"converters": ()}, "either converters or a zone"),
+        ({"zone": "z0"}, "either converters or a zone"),
+        ({"converters": (), "zone": "z7"}, "no converter in zone 'z7'"),
+        ({"duration_ms": 99_000}, "needs 101000 ms for 1 rounds and has 100000 ms, 1000 ms too little"),
+        ({"deadline_ms": 0}, "its deadline is gone"),
+        ({"name": "held"}, "is there with other content"),
+    ],
+)
+def test_a_bad_request_is_refused_in_a_line_and_changes_nothing(changes: dict[str, object], told: str) -> None:
+    region = north()
+    region.apply(SubmitRequest(request("held", converters=("n12",))))
+    before = region.ledger.snapshot()
+    result = region.apply(SubmitRequest(request(**{"name": "r1", **changes})))  # type: ignore[arg-type]
+    assert isinstance(result, Refused) and told in result.reason and "\n" not in result.reason
+    region.ledger.state.applied -= 1
+    assert region.ledger.snapshot() == before
+
+
+def test_a_converter_that_can_never_be_out_is_told_with_the_amount() -> None:
+    text = TEXT.replace('name = "n00"', 'name = "n00"\nsize = 2.5').replace("least = 8", "least = 9.5")
+    region = Region(Ledger(agreement.parse(text.encode()), "north"))
+    assert region.apply(SubmitRequest(request())) == Accepted("r1")
+    text = text.replace("least = 9.5", "least = 11.5").replace("allowance = 2", "allowance = 1")
+    region = Region(Ledger(agreement.parse(text.encode()), "north"))
+    result = region.apply(SubmitRequest(request()))
+    assert isinstance(result, Refused) and "takes 2.5 of 'convert' and at most 2 may be out, 0.5 too" in result.reason
+
+
+@pytest.mark.parametrize(
+    ("command", "told"),
+    [
+        (GrantLease("l", "nobody", "a", ("n00",)), "request 'nobody' is not open"),
+        (GrantLease("l", "held", "a", ("n00",)), "'n00' is not to be done"),
+        (GrantLease("l", "held", "a", ()), "names no converter"),
+        (GrantLease("l", "held", "a", ("n11", "n11")), "or one twice"),
+        (GrantLease("l", "held", "a", ("n11", "n12")), "2 converters of request 'held' would be out and 1 may"),
+        (CallOff("l"), "lease 'l' is not open"),
+        (CancelRequest("nobody"), "'nobody' is unknown"),
+        (RecordObservation("watch", 1, 0, ()), "1 was recorded before"),
+        (RecordObservation("other", 1, 99, ()), "log index 99, which was not there"),
+        (RecordObservation("other", 1, 0, (Sighting("s00", True, 0),)), "'s00' is none of region 'north'"),
+        (RecordStanding("north", 1, {}), "no other region"),
+        (RecordStanding("west", 1, {}), "no other region"),
+        (RecordStanding("south", 1, {"print": Standing()}), "unknown service 'print'"),
+        (DebitTransfer(Transfer("south", "north", 1, "convert", 1)), "a matter of region 'south'"),
+        (DebitTransfer(Transfer("north", "west", 1, "convert", 1)), "'west' is no other region"),
+        (DebitTransfer(Transfer("north", "north", 1, "convert", 1)), "'north' is no other region"),
+        (DebitTransfer(Transfer("north", "south", 1, "print", 1)), "unknown service 'print'"),
+        (DebitTransfer(Transfer("north", "south", 2, "convert", 1)), "next number to 'south' is 1"),
+        (DebitTransfer(Transfer("north", "south", 1, "convert", 1501)), "takes 0.001 more"),
+        (CreditTransfer(Transfer("north", "south", 1, "convert", 1)), "a matter of region 'south'"),
+        (CreditTransfer(Transfer("west", "north", 1, "convert", 1)), "'west' is no other region"),
+        (CreditTransfer(Transfer("south", "north", 1, "convert", 2001)), "0.001 more than the whole"),
+        (AcknowledgeTransfer(Transfer("north", "south", 1, "convert", 1)), "never debited"),
+    ],
+)
+def test_a_bad_command_is_refused_in_a_line_and_changes_nothing(command: Command, told: str) -> None:
+    region = north()
+    region.apply(SubmitRequest(request("held", converters=("n11", "n12"))))
+    before = region.ledger.snapshot()
+    result = region.apply(commands.decode(commands.encode(command)))
+    assert isinstance(result, Refused) and told in result.reason and "\n" not in result.reason
+    region.ledger.state.applied -= 1
+    assert region.ledger.snapshot() == before
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        b"x" * (commands.LONGEST_COMMAND + 1),
+        commands.encode(AdvanceTime(1)).replace(b"advance-time", b"advance-tame"),
+        msgspec.msgpack.encode({"type": "advance-time", "now_ms": -1}),
+        msgspec.msgpack.encode({"type": "advance-time", "now_ms": 1, "more": 2}),
+        msgspec.msgpack.encode({"type": "call-off", "lease": "two\nlines"}),
+    ],
+)
+def test_bytes_that_are_no_command_are_refused(data: bytes) -> None:
+    with pytest.raises(CommandError):
+        commands.decode(data)
+
+
+def test_a_snapshot_that_is_torn_altered_or_foreign_is_refused() -> None:
+    agreed = small_agreement()
+    taken = north().ledger.snapshot()
+    assert Ledger.restore(agreed, "north", taken).snapshot() == taken
+    other = agreement.parse(TEXT.replace("warm_up_s = 2", "warm_up_s = 3").encode())
+    for where, region, data, told in (
+        (agreed, "north", taken[:-1], "torn or altered"),
+        (agreed, "north", taken[:-1] + b"\x00", "torn or altered"),
+        (agreed, "north", b"hello", "not a snapshot"),
+        (agreed, "south", taken, "of region 'north', not of 'south'"),
+        (other, "north", taken, "another agreement"),
+    ):
+        with pytest.raises(state.SnapshotError, match=told):
+            Ledger.restore(where, region, data)
+
+
+def test_the_state_machines_can_be_printed_and_never_leave_closed() -> None:
+    text = "\n\n".join(map(str, (LEASES, GIVER, RECEIVER)))
+    assert "| granted | begin | draining |" in text and "| debited | send | debited |" in text
+    assert all(before is not LeaseState.CLOSED for before, _ in LEASES.transitions)
