Check the maintenance agreement by key and line, a test for each mistake

Need: an agreement that asks for more than there is, or allowances that do not add up, must be refused by name. Change: tests for every check of agreement.py, and one that the pure modules import no clock, chance or I/O.

--- /dev/null
+++ b/tests/test_maintenance_agreement.py
@@ -0,0 +1,115 @@
+"""The agreement file: what it says, and every mistake by its key and line."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ryepier.maintenance import agreement
+from ryepier.maintenance.agreement import AgreementError, Converter, Replica
+
+from .maintenance_world import TEXT, small_agreement
+
+
+def problems(data: bytes) -> list[str]:
+    with pytest.raises(AgreementError) as caught:
+        agreement.parse(data)
+    return [str(problem) for problem in caught.value.problems]
+
+
+def line_of(text: str, what: str) -> int:
+    return text[: text.index(what)].count("\n") + 1
+
+
+def test_the_file_is_read_in_whole_thousandths() -> None:
+    agreed = small_agreement()
+    service = agreed.services["convert"]
+    assert (service.least, service.least_part, service.warm_up_ms, service.survives_zone) == (8000, 500, 2000, False)
+    assert service.least_by_region == {"north": 2000, "south": 2000}
+    assert agreed.regions["south"].replicas[2] == Replica("south-2", "127.0.0.1:7512")
+    assert agreed.converters["n10"] == Converter("n10", "convert", "north", "z1", 1000)
+    assert agreed.may_be_out("convert") == 4000 == sum(service.allowances.values())
+    assert agreed.may_be_out_in("convert", "north") == 4000
+    assert agreed.digest != agreement.parse((TEXT + "# more").encode()).digest
+
+
+def test_surviving_a_zone_keeps_the_largest_one_back() -> None:
+    text = TEXT.replace("least = 8\n", 'least = 6\nsurvives = "zone"\n').replace("allowance = 2", "allowance = 1.5")
+    agreed = agreement.parse(text.encode())
+    assert agreed.may_be_out("convert") == 3000 and agreed.may_be_out_in("convert", "north") == 1000
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key", "told"),
+    [
+        ("least = 8", "least = 12.5", "services[0].least", "asks for 12.5; there are 12: 0.5 too much"),
+        ("least = 8", "least = 7", "services[0].regions", "add up to 4; 5 may be out"),
+        ("least = 8", "least = 9", "services[0].regions", "add up to 4; 3 may be out"),
+        ("least = 2", "least = 7", "services[0].regions[0].least", "asks for 7 in 'north'; there are 6: 1 too much"),
+        ("least_part = 0.5", "least_part = 3", "services[0].regions[0].allowance", "2 is less than"),
+        ("least = 8", "least = -1", "services[0].least", ">= 0"),
+        ("least = 8", "least = nan", "services[0].least", ">= 0.0, got nan"),
+        ("least = 8", "least = inf", "services[0].least", "<= 1000000"),
+        ("least = 8", "least = 8.0001", "services[0].least", "three decimals"),
+        ("least = 8", 'least = "8"', "services[0].least", "expected `float`"),
+        ("warm_up_s = 2", "warm_up_s = 1e9", "services[0].warm_up_s", "<= 3600"),
+        ("warm_up_s = 2", 'survives = "rack"', "services[0].survives", "got 'rack'"),
+        ("warm_up_s = 2", "warm_up = 2", "services[0].warm_up", "did you mean 'warm_up_s'?"),
+        ('region = "south"\nleast', 'region = "west"\nleast', "services[0].regions[1].region", "unknown region 'west'"),
+        ('region = "south"\nleast', 'region = "north"\nleast', "services[0].regions[1].region", "is named before, at"),
+        ('name = "n01"', 'name = "n00"', "converters[1].name", "'n00' is named before, at converters[0].name"),
+        ('name = "n01"', 'name = "n 01"', "converters[1].name", "matching regex"),
+        ('name = "n01"', 'name = "n01"\nsize = 0', "converters[1].size", ">= 0.001"),
+        ('name = "south"', 'name = "north"', "regions[1].name", "is named before"),
+        ('name = "south-0"', 'name = "north-0"', "regions[1].replicas[0].name", "is named before"),
+        ("127.0.0.1:7510", "127.0.0.1:7500", "regions[1].replicas[0].address", "is named before"),
+        ('service = "convert"', 'service = "print"', "converters[0].service", "unknown service 'print'"),
+    ],
+)
+def test_a_mistake_is_told_by_key_and_line(old: str, new: str, key: str, told: str) -> None:
+    text = TEXT.replace(old, new, 1)
+    assert text != TEXT
+    found = problems(text.encode())
+    assert any(f" {key}: " in one and told in one and one.startswith("line ") for one in found), found
+    assert all("\n" not in one for one in found)
+
+
+def test_the_line_is_that_of_the_key() -> None:
+    text = TEXT.replace("least = 8", "least = 13")
+    assert problems(text.encode())[0].startswith(f"line {line_of(text, 'least = 13')}: services[0].least: ")
+    text = TEXT.replace('name = "s11"', 'name = "s10"')
+    assert problems(text.encode())[0].startswith(
+        f"line {text[: text.rindex('s10')].count(chr(10)) + 1}: converters[10]"
+    )
+
+
+def test_a_region_with_too_few_replicas_or_without_its_part_is_named() -> None:
+    last = '[[regions.replicas]]\nname = "north-2"\naddress = "127.0.0.1:7502"\n'
+    assert "2 replicas; a region needs at least 3" in problems(TEXT.replace(last, "").encode())[0]
+    part = '[[services.regions]]\nregion = "south"\nleast = 2\nallowance = 2\n'
+    assert any(
+        "region 'south' has its converters and is missing" in one for one in problems(TEXT.replace(part, "").encode())
+    )
+
+
+@pytest.mark.parametrize(
+    ("data", "told"),
+    [
+        (b"\xff", "line 1: not UTF-8"),
+        (b"a = \n", "line 1: not TOML"),
+        (b"", "services: is missing"),
+        (b"#" * (agreement.LONGEST_FILE + 1), "4194304 are allowed"),
+    ],
+)
+def test_what_is_no_agreement_is_told_in_a_line(data: bytes, told: str) -> None:
+    assert any(told in one for one in problems(data))
+
+
+def test_the_pure_half_has_no_clock_chance_or_io() -> None:
+    pure = ("agreement", "capacity", "commands", "escrow", "judge", "ledger", "limits", "planted", "profile", "results")
+    for name in (*pure, "scheduler", "state", "tables"):
+        assert agreement.__file__
+        text = (Path(agreement.__file__).parent / f"{name}.py").read_text()
+        for module in ("time", "random", "os", "socket", "asyncio", "pathlib", "threading"):
+            assert f"import {module}\n" not in text and f"from {module} import" not in text, f"{name} imports {module}"
