Give the maintenance scheduler's problem, placement and order a module each

Need: ledger.py and scheduler.py had grown past one job each. Change: submission.py refuses requests, problem.py holds what a schedule rests on, placement.py makes one plan, scheduler.py tries orders. No behaviour changes. Measured: the tests of the scheduler, agreement and ledger pass.

--- a/ryepier/experiments/best_plan.py
+++ b/ryepier/experiments/best_plan.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ryepier.maintenance.scheduler import Job, Problem
+from ryepier.maintenance.problem import Job, Problem
 
 WORK_LIMIT = 1.0  # of the solver's own deterministic seconds: the same plan on a slow machine
 
@@ -23,11 +23,6 @@
     bound: int
 
 
-def work(job: Job) -> int:
-    """Capacity times time that a request takes out, in thousandths of a size times ms."""
-    return sum(one.size for one in job.converters) * job.length_ms
-
-
 def best_plan(problem: Problem, worth: Callable[[Job], int]) -> BestPlan:
     """The plan whose requests have the greatest worth together."""
     from ortools.sat.python import cp_model
@@ -36,7 +31,7 @@
     present = {job.request.name: model.new_bool_var(job.request.name) for job in problem.jobs}
     intervals = []  # of (interval, converter, request)
     for job in problem.jobs:
-        desired = max(problem.now_ms, job.request.earliest_ms)
+        desired = problem.desired_ms(job)
         latest = job.request.deadline_ms - job.length_ms
         if latest < desired:
             model.add(present[job.request.name] == 0)
--- a/ryepier/maintenance/ledger.py
+++ b/ryepier/maintenance/ledger.py
@@ -9,8 +9,8 @@
 
 from typing import ClassVar
 
-from ryepier.maintenance import escrow, state
-from ryepier.maintenance.agreement import Agreement, Service, show_units
+from ryepier.maintenance import escrow, state, submission
+from ryepier.maintenance.agreement import Agreement, show_units
 from ryepier.maintenance.capacity import Capacity, CapacityView
 from ryepier.maintenance.commands import (
     AcknowledgeTransfer,
@@ -52,7 +52,6 @@
 from ryepier.maintenance.state import Lease, LedgerState, Peer, RequestRecord, Seen
 from ryepier.maintenance.tables import LEASES, LeaseEvent, LeaseState, TransferState
 
-MOST_OPEN_REQUESTS = 5_000
 MOST_FINISHED_REQUESTS = 10_000  # remembered, so that a repeated submission is not taken for a new request
 
 LeaseCommand = TakeOverLease | BeginDrain | ReleaseLease | CallOff
@@ -201,8 +200,8 @@
         if known is not None:
             same = known == request
             return Accepted(request.name) if same else Refused(f"request {request.name!r} is there with other content")
-        converters = self._named_converters(request)
-        reason = self._why_not_submit(request, converters)
+        converters = submission.named_converters(self.agreement, request)
+        reason = submission.why_refused(self.agreement, self.state, request, converters)
         if reason:
             return Refused(f"request {request.name!r}: {reason}")
         self.state.requests[request.name] = RequestRecord(request, converters, self.state.now_ms)
@@ -212,64 +211,6 @@
         record = self.state.requests.get(name)
         return record.request if record else self.state.finished.get(name)
 
-    def _named_converters(self, request: Request) -> tuple[str, ...]:
-        if request.converters:
-            return request.converters
-        here = self.agreement.converters_of(request.service, request.region)
-        return tuple(one.name for one in here if one.zone == request.zone)
-
-    def _why_not_submit(self, request: Request, converters: tuple[str, ...]) -> str | None:
-        if request.region != self.region:
-            return f"it is for region {request.region!r}; this is {self.region!r}"
-        if request.service not in self.agreement.services:
-            return f"unknown service {request.service!r}"
-        if bool(request.converters) == bool(request.zone):
-            return "names either converters or a zone"
-        if not converters:
-            return f"service {request.service!r} has no converter in zone {request.zone!r}"
-        if len(self.state.requests) >= MOST_OPEN_REQUESTS:
-            return f"{MOST_OPEN_REQUESTS} requests are open, the most there may be"
-        return self._why_not_converters(request, converters) or self._why_never(request, converters)
-
-    def _why_not_converters(self, request: Request, converters: tuple[str, ...]) -> str | None:
-        holders = {name: one.request.name for one in self.state.requests.values() for name in one.remaining()}
-        seen: set[str] = set()
-        for name in converters:
-            converter = self.agreement.converters.get(name)
-            if converter is None or (converter.region, converter.service) != (request.region, request.service):
-                return f"converter {name!r} is none of service {request.service!r} in region {request.region!r}"
-            if name in seen:
-                return f"converter {name!r} is named twice"
-            if name in holders:
-                return f"converter {name!r} is in request {holders[name]!r}"
-            seen.add(name)
-        return None
-
-    def _why_never(self, request: Request, converters: tuple[str, ...]) -> str | None:
-        """By how much a request can't fit whatever else is out, or None."""
-        if request.deadline_ms <= self.state.now_ms:
-            return f"its deadline is gone by {self.state.now_ms - request.deadline_ms} ms"
-        rounds = -(-len(converters) // request.at_once)
-        service = self.agreement.services[request.service]
-        needed_ms = rounds * (request.duration_ms + service.warm_up_ms)
-        has_ms = request.deadline_ms - max(request.earliest_ms, self.state.now_ms)
-        if needed_ms > has_ms:
-            return f"needs {needed_ms} ms for {rounds} rounds and has {has_ms} ms, {needed_ms - has_ms} ms too little"
-        return self._why_too_large(service, converters)
-
-    def _why_too_large(self, service: Service, converters: tuple[str, ...]) -> str | None:
-        whole = self.agreement.may_be_out(service.name)
-        here = self.agreement.may_be_out_in(service.name, self.region)
-        most = min(whole, here)
-        for name in converters:
-            size = self.agreement.converters[name].size
-            if size > most:
-                return (
-                    f"converter {name!r} takes {show_units(size)} of {service.name!r} and at most {show_units(most)} "
-                    f"may be out, {show_units(size - most)} too much"
-                )
-        return None
-
     def _cancel(self, name: str) -> Result:
         record = self.state.requests.get(name)
         if record is None:
--- a/tests/test_maintenance_scheduler.py
+++ b/tests/test_maintenance_scheduler.py
@@ -8,22 +8,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ryepier.experiments.best_plan import best_plan, work
+from ryepier.experiments.best_plan import best_plan
 from ryepier.maintenance.agreement import Converter
 from ryepier.maintenance.commands import AdvanceTime, BeginDrain, Priority, SubmitRequest
 from ryepier.maintenance.limits import Limit
+from ryepier.maintenance.placement import FREEZE_MS, Schedule
+from ryepier.maintenance.problem import AGING_MS, Held, Job, Problem, Window, problem_of
 from ryepier.maintenance.results import Granted
-from ryepier.maintenance.scheduler import (
-    AGING_MS,
-    FREEZE_MS,
-    Held,
-    Job,
-    Problem,
-    Schedule,
-    Window,
-    make_schedule,
-    problem_of,
-)
+from ryepier.maintenance.scheduler import make_schedule
 
 from .maintenance_world import north, request
 
@@ -224,9 +216,9 @@
     for seed in range(25):
         one = drawn_problem(seed, most_jobs=9, priorities=1)
         misfits = {misfit.request for misfit in make_schedule(one).misfits}
-        plan = best_plan(one, work)
+        plan = best_plan(one, Job.work)
         proven += plan.bound == plan.worth
-        mine = sum(work(each) for each in one.jobs if each.request.name not in misfits)
+        mine = sum(each.work() for each in one.jobs if each.request.name not in misfits)
         assert mine <= plan.bound, f"seed {seed}: better than the best"
         got, best, worst = got + mine, best + plan.bound, min(worst, mine / plan.bound)
     print(f"work: {got / best:.3f} of the best plans' together, {worst:.3f} at worst; {proven} of 25 proven best")
