--- a/ryepier/maintenance/ledger.py
+++ b/ryepier/maintenance/ledger.py
@@ -52,6 +52,7 @@
 from ryepier.maintenance.state import Lease, LedgerState, Peer, RequestRecord, Seen
 from ryepier.maintenance.tables import LEASES, LeaseEvent, LeaseState, TransferState
 
+REBALANCE_AHEAD_MS = 600_000  # requests that may begin within this draw allowances to their region
 MOST_FINISHED_REQUESTS = 10_000  # remembered, so that a repeated submission is not taken for a new request
 
 LeaseCommand = TakeOverLease | BeginDrain | ReleaseLease | CallOff
@@ -156,10 +157,11 @@
         return max(0, capacity.allowance - max(used, self.agreement.services[service].least_part))
 
     def _wanted(self, service: str) -> int:
-        """What the open requests would have out at once, if they all ran together."""
+        """What the open requests that may soon begin would have out at once, if they all ran together."""
         wanted = 0
-        for record in self.state.requests.values():
-            if record.request.service == service and not record.cancelled:
+        soon_ms = self.state.now_ms + REBALANCE_AHEAD_MS
+        for record in self.open_requests():
+            if record.request.service == service and record.request.earliest_ms <= soon_ms:
                 sizes = sorted((self.agreement.converters[name].size for name in record.remaining()), reverse=True)
                 wanted += sum(sizes[: record.request.at_once])
         return min(wanted, self.agreement.may_be_out_in(service, self.region))
--- a/tests/test_maintenance_regions.py
+++ b/tests/test_maintenance_regions.py
@@ -24,6 +24,7 @@
     CancelRequest,
     CreditTransfer,
     DebitTransfer,
+    SubmitRequest,
     Transfer,
 )
 from ryepier.maintenance.judge import Change
@@ -32,7 +33,7 @@
 from ryepier.maintenance.results import Acknowledged, Credited, Debited, Refused
 
 from .maintenance_cluster import Cluster
-from .maintenance_world import SERVICE, TEXT, converters_text, regions_text, small_agreement
+from .maintenance_world import SERVICE, TEXT, converters_text, regions_text, request, small_agreement
 
 WEST = '[[services.regions]]\nregion = "west"\nleast = 2\nallowance = 2\n'
 THREE = ("north", "south", "west")
@@ -354,6 +355,16 @@
     assert cluster.ledger("north").transfers_due() == []
 
 
+def test_a_request_far_ahead_draws_no_allowance_yet() -> None:
+    cluster = Cluster(small_agreement())
+    ledger = cluster.ledger("north")
+    far = request("far", converters=("n00", "n01", "n02"), at_once=3, earliest_ms=10**6, deadline_ms=10**9)
+    cluster.apply("north", SubmitRequest(far))
+    assert ledger.standings()["convert"].shortage == 0
+    cluster.apply("north", AdvanceTime(500_000))
+    assert ledger.standings()["convert"].shortage == 1000
+
+
 def test_a_region_that_wants_its_part_itself_gives_none_and_a_deficit_goes_before_a_shortage() -> None:
     cluster = Cluster(AGREEMENTS[1])
     cluster.submit("north", "r1", ("n00", "n01", "n02"), 3)
