--- /dev/null
+++ b/ryepier/maintenance/scheduler.py
@@ -0,0 +1,69 @@
+"""Which windows to open, and when: earliest deadline first with backfill, urgent before convenient.
+
+Pure: a `Problem` in, a `Schedule` out, the same for the same. The schedule only proposes: the ledger grants.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from ryepier.maintenance.placement import Attempt, Schedule
+from ryepier.maintenance.problem import Job, Problem
+
+MOST_ORDERS = 60  # of requests that are tried where some do not fit
+MOST_PLACEMENTS = 4_000  # of converters over all of them, so that a large fleet's schedule is not late
+
+
+def make_schedule(problem: Problem) -> Schedule:
+    """The best schedule that a few orders of the requests give, by `Attempt.worth`."""
+    best = Attempt(problem, sorted(problem.jobs, key=_by_deadline(problem)))
+    if best.misfits:
+        orders = (_by_slack(problem), _by_work(problem))
+        best = max(best, *(Attempt(problem, sorted(problem.jobs, key=key)) for key in orders), key=Attempt.worth)
+        best = _improve(problem, best)
+    return best.schedule()
+
+
+def _improve(problem: Problem, best: Attempt) -> Attempt:
+    """Move requests that do not fit before others of their priority, for as long as that is worth more."""
+    hopeless = {name for name in best.misfit_names() if Attempt(problem, [best.job(name)]).misfits}
+    converters = sum(len(job.converters) for job in problem.jobs)
+    tries = min(MOST_ORDERS, MOST_PLACEMENTS // converters)
+    orders = _moved_orders(problem, best, hopeless)
+    while tries > 0 and (order := next(orders, None)) is not None:
+        attempt = Attempt(problem, order)
+        tries -= 1
+        if attempt.worth() > best.worth():
+            best = attempt
+            orders = _moved_orders(problem, best, hopeless)
+    return best
+
+
+def _moved_orders(problem: Problem, attempt: Attempt, hopeless: set[str]) -> Iterator[list[Job]]:
+    """The attempt's order with one of its misfits moved to each place before it, among those of its priority."""
+    for name in attempt.misfit_names():
+        if name in hopeless:
+            continue
+        job = attempt.job(name)
+        for place in range(attempt.order.index(job)):
+            if problem.priority(attempt.order[place]) == problem.priority(job):
+                rest = [one for one in attempt.order if one is not job]
+                yield [*rest[:place], job, *rest[place:]]
+
+
+def _by_deadline(problem: Problem) -> Callable[[Job], tuple[int, int, int, str]]:
+    return lambda job: (problem.priority(job), job.request.deadline_ms, job.submitted_ms, job.request.name)
+
+
+def _by_slack(problem: Problem) -> Callable[[Job], tuple[int, int, int, str]]:
+    return lambda job: (problem.priority(job), _slack(problem, job), job.submitted_ms, job.request.name)
+
+
+def _by_work(problem: Problem) -> Callable[[Job], tuple[int, int, int, str]]:
+    return lambda job: (problem.priority(job), -job.work(), job.submitted_ms, job.request.name)
+
+
+def _slack(problem: Problem, job: Job) -> int:
+    """By how much a request could start later and still end in time."""
+    rounds = -(-len(job.converters) // job.request.at_once)
+    return job.request.deadline_ms - problem.desired_ms(job) - rounds * job.length_ms
