Fail a process test whose every run was void, in place of skipping it

Cause: a run in which the machine fell behind twice was skipped, so a run of the tests could be green without it. Change: up to three plays, then a failure.

--- a/tests/test_load_spread_processes.py
+++ b/tests/test_load_spread_processes.py
@@ -19,6 +19,7 @@
 
 SEED = 31
 SETTLED_S = 1.0
+MOST_PLAYS = 3  # a run that is void is played again
 ANSWER: dict[str, float] = {"aim_ms": 400.0, "deadline_ms": 800.0, "worth": 1.0, "late_worth": 0.5}
 
 
@@ -50,9 +51,9 @@
 
 
 def play(world: World, folder: Path) -> Run:
-    """One run. One in which the machine fell behind is void, and is played once more; twice void, it says nothing but
-    that the rules without times hold."""
-    for _ in range(2):
+    """One run. One in which the machine fell behind is void and is played again; the rules without times hold in it
+    all the same. Fails where every one was void: the test has then shown nothing."""
+    for _ in range(MOST_PLAYS):
         history = rig.play(world, SEED, folder)
         orders, breaches = figures.orders(world, history.tries), judge.judge(world, history)
         run = Run(world, SEED, history, orders, breaches, folder)
@@ -61,7 +62,7 @@
             return run
         broken = [breach for breach in breaches if breach.rule in TIMELESS]
         assert not broken, broken[:5]
-    pytest.skip(f"void twice, as the machine fell behind: {late}")
+    pytest.fail(f"void {MOST_PLAYS} times, as the machine fell behind: {late}")
 
 
 def assert_well(run: Run, served: float) -> None:
