--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -5,6 +5,7 @@
 from ryepier.experiments.core.contract import Experiment, Measured
 from ryepier.experiments.faults import experiments as faults
 from ryepier.experiments.graphql import graphql_front
+from ryepier.experiments.load_spread import processes as load_spread_processes
 from ryepier.experiments.planners import planner_reconnect, planner_scale, planning
 from ryepier.experiments.scale import scale_call, scale_control, scale_depth, scale_fail, scale_list
 from ryepier.experiments.simulation import fidelity
@@ -19,6 +20,7 @@
         *slicing.EXPERIMENTS,
         *graphql_front.EXPERIMENTS,
         *retry_storms.EXPERIMENTS,
+        *load_spread_processes.EXPERIMENTS,
     )
 }
 MEASURED: dict[str, Measured] = {
--- a/ryepier/experiments/planted.py
+++ b/ryepier/experiments/planted.py
@@ -13,6 +13,7 @@
 
 from ryepier.experiments.faults import planted as faults
 from ryepier.experiments.graphql import planted as graphql
+from ryepier.experiments.load_spread import processes_planted as load_spread
 from ryepier.experiments.planners import planted as planners
 from ryepier.experiments.scale import planted as scale
 from ryepier.experiments.simulation import planted as simulation
@@ -29,6 +30,7 @@
     **storms.PLANTS,
     **graphql.PLANTS,
     **simulation.PLANTS,
+    **load_spread.PLANTS,
 }
 
 
