Add a pure replicated log for the maintenance coordinators, and its file

Change: Raft as a pure core (ticks and messages in; state to store, messages and committed entries out), its roles and transitions in one table; a file that is checksummed and fsynced before an answer counts, refuses what was altered or is another replica's and cuts only what was never acknowledged. A replica that lost its disk takes entries but does not vote until it has one of a leader that was elected without it. Measured: random walks and hypothesis over lost, late, repeated and reordered messages, crashes and lost disks keep one leader a term, log matching and committed entries; the planted vote-twice and forget-grant are caught.

--- /dev/null
+++ b/ryepier/maintenance/replication/roles.py
@@ -0,0 +1,53 @@
+"""The roles of a replica and every transition between them.
+
+| role | answers votes | stands for election | takes entries |
+| --- | --- | --- | --- |
+| recovering | no | no | no |
+| learner | no | no | yes |
+| follower | yes | yes | yes |
+| candidate | yes | yes | yes, as a follower |
+| leader | yes | | proposes them |
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Role(Enum):
+    """What a replica may do."""
+
+    RECOVERING = "recovering"
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Event(Enum):
+    """What can change a replica's role."""
+
+    ALL_MEMBERS_ANSWERED = "every other member has told its term"
+    CAUGHT_UP = "the log holds an entry of a leader that was elected without this replica"
+    ELECTION_TIMEOUT = "no leader was heard for an election timeout"
+    MAJORITY_VOTED = "a majority has voted for this replica"
+    LEADER_HEARD = "a leader of the same term has sent entries"
+    HIGHER_TERM = "a message of a higher term has come"
+    QUORUM_SILENT = "no majority has answered this leader for an election timeout"
+
+
+TRANSITIONS: dict[tuple[Role, Event], Role] = {
+    (Role.RECOVERING, Event.ALL_MEMBERS_ANSWERED): Role.LEARNER,
+    (Role.LEARNER, Event.CAUGHT_UP): Role.FOLLOWER,
+    (Role.LEARNER, Event.LEADER_HEARD): Role.LEARNER,
+    (Role.LEARNER, Event.HIGHER_TERM): Role.LEARNER,
+    (Role.FOLLOWER, Event.ELECTION_TIMEOUT): Role.CANDIDATE,
+    (Role.FOLLOWER, Event.LEADER_HEARD): Role.FOLLOWER,
+    (Role.FOLLOWER, Event.HIGHER_TERM): Role.FOLLOWER,
+    (Role.CANDIDATE, Event.ELECTION_TIMEOUT): Role.CANDIDATE,
+    (Role.CANDIDATE, Event.MAJORITY_VOTED): Role.LEADER,
+    (Role.CANDIDATE, Event.LEADER_HEARD): Role.FOLLOWER,
+    (Role.CANDIDATE, Event.HIGHER_TERM): Role.FOLLOWER,
+    (Role.LEADER, Event.HIGHER_TERM): Role.FOLLOWER,
+    (Role.LEADER, Event.QUORUM_SILENT): Role.FOLLOWER,
+}
--- /dev/null
+++ b/ryepier/maintenance/replication/storage.py
@@ -0,0 +1,255 @@
+"""The file that holds a replica's term, vote and log.
+
+    8 bytes   file type
+    12 bytes  how far the file has been acknowledged: offset (8), CRC-32 of it (4)
+    records   length (4), CRC-32 of the length (4), CRC-32 of the content (4), content
+
+All numbers are big-endian. The first record says whose file it is. A record is on disk (fsync) before `save` returns,
+and only then is the acknowledged offset moved behind it. So when the file is opened again, what lies behind that offset
+and is incomplete is a write that was never acknowledged and is cut off; all else that does not match was altered, and
+the file is refused. The offset itself reaches the disk with the next record at the latest: after a loss of power it may
+lag, but never runs ahead.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import struct
+import zlib
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+
+from ryepier.maintenance.replication.core import DurableState, Ready
+from ryepier.maintenance.replication.messages import Entry, HardState
+
+FILE_NAME = "replica.log"
+FILE_TYPE = b"RYELOG01"
+ACKNOWLEDGED = struct.Struct(">QI")
+RECORD_HEAD = struct.Struct(">III")
+RECORDS_OFFSET = len(FILE_TYPE) + ACKNOWLEDGED.size
+MAX_RECORD_BYTES = 64 * 1024 * 1024
+
+
+class StorageError(Exception):
+    """A replica's file cannot be used; the message names it and says why."""
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Whose file it is. The members are fixed, so a file of other members is another region's."""
+
+    region: str
+    replica: str
+    members: tuple[str, ...]
+
+
+class Record(msgspec.Struct, frozen=True):
+    """One atomic change: a new hard state, and the log from `first_index` on (0: as it was)."""
+
+    hard_state: HardState | None
+    first_index: int
+    entries: tuple[Entry, ...]
+
+
+class Storage(Protocol):
+    """Where a replica keeps what a `Ready` says must be durable."""
+
+    def save(self, ready: Ready) -> None:
+        """Return only once it is on disk."""
+
+    def close(self) -> None:
+        """Let go of the file."""
+
+
+def exists(folder: Path) -> bool:
+    """Whether a replica has kept its state here before."""
+    return (folder / FILE_NAME).exists()
+
+
+def create(folder: Path, identity: Identity) -> None:
+    """Write the file of a replica that knows nothing yet. Raises StorageError where one exists."""
+    path = folder / FILE_NAME
+    if path.exists():
+        raise StorageError(f"{path}: exists already")
+    folder.mkdir(parents=True, exist_ok=True)
+    record = _encode_record(msgspec.msgpack.encode(identity))
+    unfinished = path.with_suffix(".new")
+    with unfinished.open("wb") as file:
+        file.write(FILE_TYPE + _encode_acknowledged(RECORDS_OFFSET + len(record)) + record)
+        file.flush()
+        os.fsync(file.fileno())
+    unfinished.rename(path)
+    _sync_folder(folder)
+
+
+class FileStorage:
+    """A replica's open file. `state` is what it held when it was opened."""
+
+    def __init__(self, folder: Path, identity: Identity) -> None:
+        """Open and check the file. Raises StorageError where it is missing, locked, altered or another replica's."""
+        self.path = folder / FILE_NAME
+        self.descriptor = self._open_locked()
+        try:
+            reader = _Reader(self.path, self._read_all(), identity)
+            self.state = reader.read()
+            if reader.offset < reader.size:
+                os.ftruncate(self.descriptor, reader.offset)
+                os.fsync(self.descriptor)
+        except BaseException:
+            os.close(self.descriptor)
+            raise
+        self.cut_bytes = reader.size - reader.offset
+        self.offset = reader.offset
+
+    def _open_locked(self) -> int:
+        """Open for this process alone."""
+        try:
+            descriptor = os.open(self.path, os.O_RDWR | os.O_CLOEXEC)
+        except OSError as error:
+            raise StorageError(f"{self.path}: {error.strerror}") from error
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(descriptor)
+            raise StorageError(f"{self.path}: in use by another process") from error
+        return descriptor
+
+    def _read_all(self) -> bytes:
+        """The whole file."""
+        return self.path.read_bytes()
+
+    def save(self, ready: Ready) -> None:
+        """Write what a `Ready` wants durable; it is on disk when this returns."""
+        if not ready.must_store:
+            return
+        content = msgspec.msgpack.encode(Record(ready.hard_state, ready.first_index, ready.entries))
+        record = _encode_record(content)
+        self._write_at(record, self.offset)
+        os.fsync(self.descriptor)
+        self.offset += len(record)
+        self._write_at(_encode_acknowledged(self.offset), len(FILE_TYPE))
+
+    def _write_at(self, data: bytes, offset: int) -> None:
+        """Write all of it."""
+        while data:
+            written = os.pwrite(self.descriptor, data, offset)
+            data = data[written:]
+            offset += written
+
+    def close(self) -> None:
+        """Let go of the file and its lock."""
+        os.close(self.descriptor)
+
+
+class _Reader:
+    """Goes through a file once."""
+
+    def __init__(self, path: Path, data: bytes, identity: Identity) -> None:
+        """Read for this replica."""
+        self.path = path
+        self.data = data
+        self.size = len(data)
+        self.identity = identity
+        self.offset = RECORDS_OFFSET
+        self.acknowledged = 0
+
+    def read(self) -> DurableState:
+        """The state after the last whole record; `offset` then stands behind it."""
+        self._read_acknowledged()
+        self._check_identity()
+        hard_state = HardState()
+        entries: list[Entry] = []
+        while (content := self._next_content()) is not None:
+            record = self._decode(content)
+            hard_state = record.hard_state or hard_state
+            if record.first_index > 0:
+                entries[record.first_index - 1 :] = record.entries
+        if self.offset < self.acknowledged:
+            raise StorageError(
+                f"{self.path}: ends at byte {self.offset}, but {self.acknowledged} bytes were acknowledged"
+            )
+        return DurableState(hard_state, tuple(entries))
+
+    def _read_acknowledged(self) -> None:
+        """Check the file's type and read how far it was acknowledged."""
+        if self.data[: len(FILE_TYPE)] != FILE_TYPE:
+            raise StorageError(f"{self.path}: not a replica's log")
+        if self.size < RECORDS_OFFSET:
+            raise StorageError(f"{self.path}: ends within its head")
+        self.acknowledged, checksum = ACKNOWLEDGED.unpack_from(self.data, len(FILE_TYPE))
+        if checksum != zlib.crc32(self.data[len(FILE_TYPE) : len(FILE_TYPE) + 8]):
+            raise StorageError(f"{self.path}: the acknowledged offset does not match its checksum")
+
+    def _check_identity(self) -> None:
+        """Refuse another replica's file."""
+        content = self._next_content()
+        if content is None:
+            raise StorageError(f"{self.path}: ends before it says whose it is")
+        try:
+            found = msgspec.msgpack.decode(content, type=Identity)
+        except msgspec.DecodeError as error:
+            raise StorageError(f"{self.path}: does not say whose it is: {error}") from error
+        if found != self.identity:
+            raise StorageError(f"{self.path}: belongs to {_describe(found)}, not to {_describe(self.identity)}")
+
+    def _next_content(self) -> bytes | None:
+        """The next record's content; None at the end, or at a torn write that was never acknowledged."""
+        head_end = self.offset + RECORD_HEAD.size
+        if head_end > self.size:
+            return None
+        length, length_checksum, checksum = RECORD_HEAD.unpack_from(self.data, self.offset)
+        if self._is_unwritten():
+            return None
+        if length_checksum != zlib.crc32(self.data[self.offset : self.offset + 4]) or length > MAX_RECORD_BYTES:
+            raise self._unreadable("length")
+        content = self.data[head_end : head_end + length]
+        if len(content) < length:
+            return None
+        if checksum != zlib.crc32(content):
+            raise self._unreadable("content")
+        self.offset = head_end + length
+        return content
+
+    def _is_unwritten(self) -> bool:
+        """Whether only zeros follow, as where the file had grown before its content reached the disk."""
+        return self.offset >= self.acknowledged and not any(self.data[self.offset :])
+
+    def _unreadable(self, part: str) -> StorageError:
+        """A record that does not match its checksum is no unfinished write: that would have ended early."""
+        return StorageError(f"{self.path}: the {part} of the record at byte {self.offset} does not match its checksum")
+
+    def _decode(self, content: bytes) -> Record:
+        """A record whose checksum holds."""
+        try:
+            return msgspec.msgpack.decode(content, type=Record)
+        except msgspec.DecodeError as error:
+            raise StorageError(f"{self.path}: the record before byte {self.offset} is none: {error}") from error
+
+
+def _encode_record(content: bytes) -> bytes:
+    """A record with its lengths and checksums."""
+    if len(content) > MAX_RECORD_BYTES:
+        raise StorageError(f"a record of {len(content)} bytes is over the limit of {MAX_RECORD_BYTES}")
+    length = len(content).to_bytes(4, "big")
+    return RECORD_HEAD.pack(len(content), zlib.crc32(length), zlib.crc32(content)) + content
+
+
+def _encode_acknowledged(offset: int) -> bytes:
+    """The acknowledged offset with its checksum."""
+    return ACKNOWLEDGED.pack(offset, zlib.crc32(offset.to_bytes(8, "big")))
+
+
+def _describe(identity: Identity) -> str:
+    """An identity for a message."""
+    return f"replica {identity.replica} of region {identity.region} ({', '.join(identity.members)})"
+
+
+def _sync_folder(folder: Path) -> None:
+    """Make the name of a new file durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
