Serve a region's coordinators as processes, with an agent and a thin command

Change: a coordinator joins the replicated log, the ledger and the scheduler, and answers only after a commit; a client that finds the leader; an observer that counts warmth by its own clock; an agent; maintenance serve|request|list|cancel. A new leader answered with a state that was not its region's yet: it now waits for a commit in its own term (test added).

--- a/ryepier/cli.py
+++ b/ryepier/cli.py
@@ -14,6 +14,7 @@
     "emulate": "Run the stand-ins of a world file alone.",
     "experiment": "Play named experiments and judge them.",
     "load": "Send requests to a sidecar as its application would.",
+    "maintenance": "Plan maintenance windows across regions.",
     "plan": "Show what planners say, and why.",
     "planner": "Run one planner until SIGTERM.",
     "sim": "Play worlds under virtual time, and search for faults.",
--- a/ryepier/maintenance/replication/core.py
+++ b/ryepier/maintenance/replication/core.py
@@ -164,6 +164,14 @@
         """Whether it leads its own term; a newer term may exist that it has not heard of."""
         return self.role is Role.LEADER
 
+    @property
+    def has_committed_in_term(self) -> bool:
+        """Whether it leads and has committed an entry of its own term.
+
+        Only then is all that earlier leaders committed known here to be so; before, its state may be an old one.
+        """
+        return self.is_leader and self.term_at(self.commit_index) == self.term
+
     @property
     def last_index(self) -> int:
         """The index of the last entry, 0 for an empty log."""
--- /dev/null
+++ b/ryepier/maintenance/status.py
@@ -0,0 +1,110 @@
+"""What the leader works out from its ledger: the schedule, the next window, what to record of a look, its status."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ryepier.maintenance.api import CapacityStatus, LeaseStatus, RequestStatus, StatusReply
+from ryepier.maintenance.commands import FULL_WARMTH, RecordObservation
+from ryepier.maintenance.ledger import Ledger
+from ryepier.maintenance.observer import Look
+from ryepier.maintenance.replication.core import Replica
+from ryepier.maintenance.scheduler import Schedule, Window, make_schedule, problem_of
+from ryepier.maintenance.state import Lease
+from ryepier.maintenance.tables import LeaseState
+
+AWAITING_SIGHT = (LeaseState.RETURNING, LeaseState.CALLED_OFF)
+
+
+class Planning:
+    """The schedule of a ledger, made anew when the ledger has changed."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        """Look at `ledger`, which goes on changing."""
+        self.ledger = ledger
+        self.schedule = Schedule((), (), ())
+        self.made_at = -1
+
+    def present_schedule(self) -> Schedule:
+        """The schedule as of the last command."""
+        if self.made_at != self.ledger.applied:
+            self.made_at = self.ledger.applied
+            self.schedule = make_schedule(problem_of(self.ledger, self.schedule.windows))
+        return self.schedule
+
+    def due_window(self) -> Window | None:
+        """A window that may begin now."""
+        due = (one for one in self.present_schedule().windows if one.start_ms <= self.ledger.now_ms)
+        return next(due, None)
+
+    def observation(self, observer: str, as_of: int, looks: Iterable[Look]) -> RecordObservation | None:
+        """What of a look is worth a command: what differs, and what may end a lease."""
+        telling = tuple(one.sighting for one in looks if self._tells(one))
+        if not telling:
+            return None
+        return RecordObservation(observer, as_of + 1, as_of, telling)
+
+    def _tells(self, look: Look) -> bool:
+        """Whether a look is news."""
+        sighting = look.sighting
+        lease = self._lease_of(sighting.converter)
+        if lease is not None and sighting.ready:
+            if lease.state is not LeaseState.CALLED_OFF and look.life_began_ms < lease.granted_ms:
+                return False  # a listing that is late: this is the life from before the maintenance
+            if lease.state in AWAITING_SIGHT and sighting.warmth == FULL_WARMTH:
+                return True
+        seen = self.ledger.state.seen.get(sighting.converter)
+        return seen is None or (seen.ready, seen.warmth) != (sighting.ready, sighting.warmth)
+
+    def _lease_of(self, converter: str) -> Lease | None:
+        """The open lease that has a converter out."""
+        for lease in self.ledger.state.leases.values():
+            if converter in lease.out:
+                return lease
+        return None
+
+    def request_statuses(self) -> tuple[RequestStatus, ...]:
+        """The open requests with what the schedule says of each."""
+        schedule = self.present_schedule()
+        reasons = {one.request: one.reason for one in schedule.waiting}
+        reasons |= {one.request: one.reason for one in schedule.misfits}
+        starts: dict[str, int] = {}
+        for window in schedule.windows:
+            starts[window.request] = min(window.start_ms, starts.get(window.request, window.start_ms))
+        return tuple(
+            RequestStatus(
+                name=record.request.name,
+                service=record.request.service,
+                remaining=tuple(record.remaining()),
+                deadline_ms=record.request.deadline_ms,
+                starts_ms=starts.get(record.request.name, -1),
+                reason=reasons.get(record.request.name, ""),
+            )
+            for record in self.ledger.open_requests()
+        )
+
+
+def status_of(number: int, replica: Replica, ledger: Ledger, planning: Planning) -> StatusReply:
+    """The region's state as its leader has applied it."""
+    return StatusReply(
+        number=number,
+        region=ledger.region,
+        leader=replica.settings.name,
+        term=replica.term,
+        applied=ledger.applied,
+        now_ms=ledger.now_ms,
+        requests=planning.request_statuses(),
+        leases=tuple(
+            LeaseStatus(
+                lease.name, lease.request, lease.agent, lease.token, lease.state, lease.converters, tuple(lease.out)
+            )
+            for lease in ledger.open_leases()
+        ),
+        capacities=tuple(_capacity_status(ledger, service) for service in ledger.agreement.services),
+    )
+
+
+def _capacity_status(ledger: Ledger, service: str) -> CapacityStatus:
+    """A service's figures."""
+    capacity = ledger.capacity(service)
+    return CapacityStatus(service, capacity.in_force, capacity.out, capacity.lost, capacity.allowance)
--- /dev/null
+++ b/ryepier/maintenance/transport.py
@@ -0,0 +1,100 @@
+"""Frames over TCP: four bytes of length, highest first, and one MessagePack map whose `type` names it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+import msgspec
+
+from ryepier.maintenance.api import ClientHello, Frame, PeerHello
+
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_UNSENT_BYTES = 8 * 1024 * 1024  # that a peer may leave unread; further frames to it are dropped
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
+
+
+class TransportError(Exception):
+    """Bytes that are no frame; one line that says why."""
+
+
+def encode(frame: Frame) -> bytes:
+    """One frame with its length. Raises TransportError where it is longer than the other side takes."""
+    body = _encoder.encode(frame)
+    if len(body) > MAX_FRAME_BYTES:
+        raise TransportError(f"a frame of {len(body)} bytes; {MAX_FRAME_BYTES} are allowed")
+    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+
+
+def decode(body: bytes) -> Frame:
+    """A frame without its length. Raises TransportError."""
+    try:
+        return _decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise TransportError(f"unreadable frame: {error}") from None
+
+
+class FrameReader:
+    """Puts frames together from bytes as they come."""
+
+    def __init__(self) -> None:
+        """Begin without any bytes."""
+        self.pending = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """The frames that are whole by now. Raises TransportError on what can't be one."""
+        self.pending += data
+        while len(self.pending) >= LENGTH_BYTES:
+            size = int.from_bytes(self.pending[:LENGTH_BYTES], "big")
+            if size > MAX_FRAME_BYTES:
+                raise TransportError(f"a frame of {size} bytes; {MAX_FRAME_BYTES} are allowed")
+            end = LENGTH_BYTES + size
+            if len(self.pending) < end:
+                return
+            body = bytes(self.pending[LENGTH_BYTES:end])
+            del self.pending[:end]
+            yield decode(body)
+
+
+class Connection:
+    """An open connection that carries frames."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Use a pair of streams."""
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def dial(cls, address: tuple[str, int], hello: PeerHello | ClientHello) -> Connection:
+        """Connect and greet. Raises OSError."""
+        connection = cls(*await asyncio.open_connection(*address))
+        connection.send(hello)
+        return connection
+
+    def send(self, frame: Frame) -> None:
+        """Send without waiting; dropped where the other side does not read."""
+        if self.writer.is_closing() or self.writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            return
+        self.writer.write(encode(frame))
+
+    async def receive(self) -> Frame:
+        """The next frame. Raises TransportError, or OSError and EOFError at the connection's end."""
+        size = int.from_bytes(await self.reader.readexactly(LENGTH_BYTES), "big")
+        if size > MAX_FRAME_BYTES:
+            raise TransportError(f"a frame of {size} bytes; {MAX_FRAME_BYTES} are allowed")
+        return decode(await self.reader.readexactly(size))
+
+    def close(self) -> None:
+        """End it; what was sent before still goes out."""
+        self.writer.close()
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """`host:port` in its parts. Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not host:port")
+    return host, int(port)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -304,6 +304,16 @@
     assert replica is not None and replica.commit_index >= 150
 
 
+def test_a_new_leader_does_not_vouch_for_its_state_before_it_has_committed_in_its_term() -> None:
+    replica = follower((Entry(3, b"old"),))
+    while replica.role is not Role.CANDIDATE:
+        replica.tick()
+    replica.receive("b", VoteResponse(replica.term, True))
+    assert replica.is_leader and not replica.has_committed_in_term
+    replica.receive("b", AppendResponse(replica.term, True, 2))
+    assert replica.has_committed_in_term and replica.commit_index == 2
+
+
 # A replica that comes back with an empty disk
 
 
