--- a/ryepier/commands/maintenance.py
+++ b/ryepier/commands/maintenance.py
@@ -24,6 +24,7 @@
 from ryepier.maintenance.commands import CancelRequest, Command, Priority, Request, SubmitRequest
 from ryepier.maintenance.coordinator import Coordinator, CoordinatorSettings, addresses_of
 from ryepier.maintenance.node import FatalError
+from ryepier.maintenance.placement import FREEZE_MS
 from ryepier.maintenance.replication.storage import StorageError
 from ryepier.maintenance.results import Refused
 from ryepier.maintenance.transport import parse_address
@@ -50,8 +51,11 @@
 @click.option("--replica", required=True, help="Which of the region's replicas this is.")
 @click.option("--folder", required=True, type=click.Path(path_type=Path), help="Where it keeps its log.")
 @click.option("--discovery", help="host:port of discovery, which lists the converters.")
+@click.option("--freeze-s", default=FREEZE_MS / MS_PER_S, show_default=True, help="Windows sooner are not moved.")
 @click.option("--bootstrap", is_flag=True, help="Only when the region starts for the first time: make an empty log.")
-def serve(path: Path, region: str, replica: str, folder: Path, discovery: str | None, bootstrap: bool) -> None:
+def serve(
+    path: Path, region: str, replica: str, folder: Path, discovery: str | None, freeze_s: float, bootstrap: bool
+) -> None:
     """Run one coordinator until SIGTERM."""
     structured.set_up(Logging(format="json", lines_per_s=LOG_LINES_PER_S))
     agreement = _read_agreement(path, region)
@@ -64,6 +68,7 @@
             seed=random.getrandbits(63),
             bootstrap=bootstrap,
             discovery=parse_address(discovery) if discovery else None,
+            freeze_ms=round(freeze_s * MS_PER_S),
         )
         asyncio.run(_serve(settings))
     except (StorageError, ValueError) as error:
--- a/ryepier/emulator/rig.py
+++ b/ryepier/emulator/rig.py
@@ -92,6 +92,7 @@
     clients: bool = True
     stand_ins: bool = True  # converters and discovery
     targets: Sequence[tuple[str, int]] = ()  # whom the clients load, in place of the world's sidecars
+    role_module: str = "ryepier.emulator.role"  # the program of the emulator's own processes
 
 
 class Rig:
@@ -172,7 +173,7 @@
                 sys.executable,
                 "-B",
                 "-m",
-                "ryepier.emulator.role",
+                self.cast.role_module,
                 str(path),
                 str(records),
                 stdin=subprocess.PIPE,
--- /dev/null
+++ b/ryepier/experiments/maintenance/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on maintenance windows: real coordinators, agents, sidecars and converters, with faults between them."""
--- /dev/null
+++ b/ryepier/experiments/maintenance/agent_process.py
@@ -0,0 +1,46 @@
+"""One agent as a process: `python -m ryepier.experiments.maintenance.agent_process PLAN`, with its plan as JSON."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import msgspec
+
+from ryepier.conf.operators import Logging
+from ryepier.logs import structured
+from ryepier.maintenance import agreement as agreements
+from ryepier.maintenance.agent import Agent, AgentSettings
+from ryepier.maintenance.client import RegionClient
+from ryepier.maintenance.coordinator import addresses_of
+from ryepier.maintenance.fleet import SocketFleet
+
+LOG_LINES_PER_S = 200
+
+
+class AgentPlan(msgspec.Struct, frozen=True):
+    """What an agent is told."""
+
+    agreement: str
+    region: str
+    name: str
+    discovery: tuple[str, int]
+    converters: tuple[str, int]
+    work_s: float
+    drain_grace_s: float
+
+
+def main() -> None:
+    """Work until it is killed."""
+    plan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=AgentPlan)
+    structured.set_up(Logging(format="json", lines_per_s=LOG_LINES_PER_S))
+    agreement = agreements.parse(Path(plan.agreement).read_bytes())
+    client = RegionClient(plan.region, addresses_of(agreement, plan.region), plan.name, "agent")
+    settings = AgentSettings(plan.name, plan.drain_grace_s, plan.work_s)
+    agent = Agent(settings, client, SocketFleet(plan.discovery, plan.converters))
+    asyncio.run(agent.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/ryepier/experiments/maintenance/fleet_rig.py
@@ -0,0 +1,261 @@
+"""Plays a world with maintenance windows: coordinators of two regions, an agent for each, requests and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from ryepier.emulator.process import monotonic_us
+from ryepier.emulator.rig import Cast, Rig
+from ryepier.emulator.world import World
+from ryepier.experiments.maintenance import planted_coordinator
+from ryepier.experiments.maintenance.agent_process import AgentPlan
+from ryepier.experiments.maintenance.agreement_text import REGIONS, SERVICE, agreement_text, replica_names
+from ryepier.experiments.maintenance.fleet_process import JOURNAL_SUFFIX, JournalLine, control_address
+from ryepier.maintenance import agreement as agreements
+from ryepier.maintenance.agreement import Agreement
+from ryepier.maintenance.api import StatusReply
+from ryepier.maintenance.client import CallError, RegionClient
+from ryepier.maintenance.commands import Priority, Request, SubmitRequest
+from ryepier.maintenance.coordinator import addresses_of
+from ryepier.maintenance.results import Result
+
+ROLE_MODULE = "ryepier.experiments.maintenance.fleet_process"
+AGENT_MODULE = "ryepier.experiments.maintenance.agent_process"
+CALL_WITHIN_S = 12.0
+POLL_EVERY_S = 0.25
+POLL_WITHIN_S = 1.0
+WORK_S = 0.5
+FREEZE_S = 0.5  # of a run of seconds, where operators' plans are of hours
+POLLS = "polls.json"
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedRequest:
+    """A request that operators will hand in `at_s` into the run; its times count from then."""
+
+    name: str
+    region: str
+    converters: tuple[str, ...]
+    at_once: int
+    duration_ms: int
+    at_s: float
+    earliest_in_ms: int
+    deadline_in_ms: int
+    priority: Priority
+
+
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    """A request as it was handed in, and what was said of it."""
+
+    request: Request
+    region_now_ms: int
+    at_us: int
+    result: Result
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """What a region's leader said at a moment; `asked_us` is before and `told_us` after the answer."""
+
+    region: str
+    asked_us: int
+    told_us: int
+    status: StatusReply
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What is played beside the world's own load."""
+
+    may_be_out: int
+    requests: Sequence[PlannedRequest]
+    faults: Callable[[MaintenanceRig], Awaitable[None]] | None = None
+    plant: str = ""
+
+
+@dataclass(slots=True)
+class Observed:
+    """What the rig saw of the coordinators, times on the machine's monotonic clock."""
+
+    submitted: list[Submitted] = field(default_factory=list)
+    polls: list[Poll] = field(default_factory=list)
+    majority_back_us: list[tuple[str, int]] = field(default_factory=list)  # region, when
+
+
+class MaintenanceRig(Rig):
+    """One run of a scenario."""
+
+    def __init__(self, world: World, seed: int, folder: Path, scenario: Scenario) -> None:
+        """Prepare; nothing is started yet."""
+        super().__init__(world, seed, folder, Cast(role_module=ROLE_MODULE))
+        self.scenario = scenario
+        self.observed = Observed()
+        self.coordinators: dict[str, subprocess.Popen[bytes]] = {}
+        self.agents: dict[str, subprocess.Popen[bytes]] = {}
+        text = agreement_text(world, self.plan.network, scenario.may_be_out)
+        self.agreement: Agreement = agreements.parse(text.encode())
+        self.agreement_path = folder / "agreement.toml"
+        folder.mkdir(parents=True, exist_ok=True)
+        self.agreement_path.write_text(text)
+
+    # Processes
+
+    def start_planners(self) -> None:
+        """Start what decides beside the sidecars: here the coordinators, each with an empty log."""
+        super().start_planners()
+        for region in REGIONS:
+            for name in replica_names(region):
+                shutil.rmtree(self.coordinator_folder(name), ignore_errors=True)
+                self.start_coordinator(name, bootstrap=True)
+
+    def coordinator_folder(self, name: str) -> Path:
+        """Where a coordinator keeps its log."""
+        return self.folder / name
+
+    def coordinator_log(self, name: str) -> Path:
+        """What a coordinator has written to its standard error."""
+        return self.folder / f"{name}.log"
+
+    def start_coordinator(self, name: str, bootstrap: bool = False) -> None:
+        """Start a coordinator; it looks at the converters by a sidecar's agent of its own."""
+        region = name.partition("-")[0]
+        number = [one for each in REGIONS for one in replica_names(each)].index(name)
+        host, port = self.plan.discovery_address(number % self.world.sidecars.count)
+        command = [*planted_coordinator.command(self.scenario.plant), "--agreement", str(self.agreement_path)]
+        command += ["--region", region, "--replica", name, "--folder", str(self.coordinator_folder(name))]
+        command += [
+            "--discovery",
+            f"{host}:{port}",
+            "--freeze-s",
+            str(FREEZE_S),
+            *(["--bootstrap"] if bootstrap else []),
+        ]
+        with self.coordinator_log(name).open("ab") as log:
+            self.coordinators[name] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def kill_coordinators(self, *names: str) -> None:
+        """SIGKILL."""
+        for name in names:
+            self.coordinators[name].kill()
+            self.coordinators[name].wait()
+
+    def start_agent(self, region: str) -> None:
+        """Start the agent of a region."""
+        plan = AgentPlan(
+            agreement=str(self.agreement_path),
+            region=region,
+            name=f"agent-{region}",
+            discovery=control_address(self.plan, "discovery"),
+            converters=control_address(self.plan, "converters"),
+            work_s=WORK_S,
+            drain_grace_s=self.world.sidecars.drain_grace_ms / 1000,
+        )
+        path = self.folder / f"agent-{region}.json"
+        path.write_bytes(msgspec.json.encode(plan))
+        with (self.folder / f"agent-{region}.log").open("ab") as log:
+            command = [sys.executable, "-B", "-m", AGENT_MODULE, str(path)]
+            self.agents[region] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    async def kill_all(self) -> None:
+        """Leave no process behind."""
+        self.end_maintenance()
+        (self.folder / POLLS).write_bytes(msgspec.json.encode(self.observed.polls))
+        await super().kill_all()
+
+    def end_maintenance(self) -> None:
+        """End the agents and the coordinators."""
+        for process in (*self.agents.values(), *self.coordinators.values()):
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+    # While it runs
+
+    async def steps(self) -> None:
+        """The world's own steps, the agents, the requests and the faults, until the world's end."""
+        for region in REGIONS:
+            self.start_agent(region)
+        async with asyncio.TaskGroup() as group:
+            polling = [group.create_task(self.poll(region)) for region in REGIONS]
+            group.create_task(super().steps())
+            handing_in = [group.create_task(self.hand_in(region)) for region in REGIONS]
+            if self.scenario.faults is not None:
+                group.create_task(self._strike(self.scenario.faults))
+            await asyncio.gather(*handing_in)
+            await self.until(self.world.duration_s)
+            for task in polling:
+                task.cancel()
+        self.end_maintenance()
+
+    async def _strike(self, faults: Callable[[MaintenanceRig], Awaitable[None]]) -> None:
+        """Carry the scenario's faults out."""
+        await faults(self)
+
+    async def until(self, run_s: float) -> None:
+        """Wait for a moment of the run."""
+        await asyncio.sleep(max(0.0, run_s - self.clock.now_us() / 1e6))
+
+    def client(self, region: str) -> RegionClient:
+        """A caller of a region's coordinators."""
+        return RegionClient(region, addresses_of(self.agreement, region), "operator", "operator")
+
+    async def hand_in(self, region: str) -> None:
+        """The requests of a region, each at its time."""
+        client = self.client(region)
+        mine = [one for one in self.scenario.requests if one.region == region]
+        for planned in sorted(mine, key=lambda one: one.at_s):
+            await self.until(planned.at_s)
+            now_ms = (await client.status(CALL_WITHIN_S)).now_ms
+            request = Request(
+                name=planned.name,
+                region=region,
+                service=SERVICE,
+                converters=planned.converters,
+                at_once=planned.at_once,
+                duration_ms=planned.duration_ms,
+                earliest_ms=now_ms + planned.earliest_in_ms,
+                deadline_ms=now_ms + planned.deadline_in_ms,
+                priority=planned.priority,
+            )
+            result = await client.command(SubmitRequest(request), CALL_WITHIN_S)
+            self.observed.submitted.append(Submitted(request, now_ms, monotonic_us(), result))
+        client.close()
+
+    async def poll(self, region: str) -> None:
+        """Ask a region's leader again and again what it knows."""
+        client = self.client(region)
+        while True:
+            asked_us = monotonic_us()
+            try:
+                status = await client.status(POLL_WITHIN_S)
+            except CallError:
+                continue
+            self.observed.polls.append(Poll(region, asked_us, monotonic_us(), status))
+            await asyncio.sleep(POLL_EVERY_S)
+
+    async def leader(self, region: str) -> str:
+        """Who leads a region now."""
+        client = self.client(region)
+        try:
+            return (await client.status(CALL_WITHIN_S)).leader
+        finally:
+            client.close()
+
+    # The end
+
+    def journal(self) -> list[JournalLine]:
+        """What was done to converters, in the order of time, on the machine's monotonic clock."""
+        lines: list[JournalLine] = []
+        for name in ("discovery-0", "converters-0"):
+            path = self.folder / f"{name}.records{JOURNAL_SUFFIX}"
+            lines += [msgspec.json.decode(line, type=JournalLine) for line in path.read_bytes().splitlines()]
+        return sorted(lines, key=lambda line: line.at_us)
--- /dev/null
+++ b/ryepier/experiments/maintenance/overlap.py
@@ -0,0 +1,142 @@
+"""`maintenance-overlap`: 30 requests that overlap, some that can't fit, and no faults."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+import numpy as np
+
+from ryepier.emulator import draws
+from ryepier.emulator.world import World
+from ryepier.experiments.best_plan import best_plan
+from ryepier.experiments.contract import Claim, Measured, Scale
+from ryepier.experiments.maintenance import outcome as outcomes
+from ryepier.experiments.maintenance.agreement_text import REGIONS, region_converters
+from ryepier.experiments.maintenance.fleet_rig import MaintenanceRig, PlannedRequest, Scenario, Submitted
+from ryepier.experiments.maintenance.outcome import Outcome
+from ryepier.experiments.worlds import load
+from ryepier.maintenance.commands import Priority
+from ryepier.maintenance.ledger import Ledger
+from ryepier.maintenance.problem import Job, Problem
+from ryepier.maintenance.results import Accepted
+
+MAY_BE_OUT = 8
+FITTING = 12  # requests a region, of one converter each
+LEAST_UTILISATION = 0.8
+DURATION_MS = 2_500  # of one converter; what an agent needs is less, so that its report may be a little late
+LAST_HAND_IN_S = 5.0
+DEADLINES_MS = (15_000, 17_000)  # from the earliest start on
+NEAR_DEADLINE_MS = 3_000  # less than one window takes
+
+
+def draw_requests(world: World, seed: int) -> list[PlannedRequest]:
+    """Of each region: one for each converter, and three that can't be done."""
+    random = draws.stream(seed, "maintenance requests")
+    planned: list[PlannedRequest] = []
+    for region in REGIONS:
+        converters = region_converters(world, region)
+        random.shuffle(converters)
+        for number, converter in enumerate(converters[:FITTING]):
+            planned.append(_drawn(random, f"{region}-{number}", region, (converter,)))
+        planned += _misfits(region, converters)
+    return planned
+
+
+def _drawn(random: np.random.Generator, name: str, region: str, converters: tuple[str, ...]) -> PlannedRequest:
+    """A request that fits."""
+    return PlannedRequest(
+        name=name,
+        region=region,
+        converters=converters,
+        at_once=1,
+        duration_ms=DURATION_MS,
+        at_s=float(random.choice([0.0, random.uniform(0.0, LAST_HAND_IN_S)])),
+        earliest_in_ms=int(random.uniform(0, 2_000)),
+        deadline_in_ms=int(random.uniform(*DEADLINES_MS)),
+        priority=Priority(int(random.integers(0, len(Priority)))),
+    )
+
+
+def _misfits(region: str, converters: Sequence[str]) -> list[PlannedRequest]:
+    """Requests that have to be refused: too little time, a converter of another request, an unknown one."""
+
+    def misfit(name: str, named: tuple[str, ...], deadline_ms: int) -> PlannedRequest:
+        at_s = LAST_HAND_IN_S
+        return PlannedRequest(f"{region}-{name}", region, named, 1, DURATION_MS, at_s, 0, deadline_ms, Priority.URGENT)
+
+    return [
+        misfit("no-time", (converters[0],), NEAR_DEADLINE_MS),
+        misfit("twice", (converters[1], converters[1]), DEADLINES_MS[1]),
+        misfit("unknown", ("c-none",), DEADLINES_MS[1]),
+    ]
+
+
+def late(outcome: Outcome) -> list[Submitted]:
+    """Accepted requests whose converters were not all warm again by the deadline."""
+    return [
+        one for one in outcome.observed.submitted if isinstance(one.result, Accepted) and not _in_time(outcome, one)
+    ]
+
+
+def _in_time(outcome: Outcome, one: Submitted) -> bool:
+    """Whether it was done by its deadline, which counts from when it was handed in."""
+    deadline_us = one.at_us + (one.request.deadline_ms - one.region_now_ms) * 1000
+    return outcomes.done_us(outcome, one.request.converters) <= deadline_us
+
+
+def utilisation(outcome: Outcome) -> float:
+    """Work done by the deadlines, over that of the best plan for requests known from the beginning."""
+    best = done = 0
+    for region in REGIONS:
+        problem = _problem(outcome, region)
+        best += best_plan(problem, Job.work).worth
+        jobs = {job.request.name: job for job in problem.jobs}
+        for one in outcome.observed.submitted:
+            if one.request.name in jobs and _in_time(outcome, one):
+                done += jobs[one.request.name].work()
+    return done / best
+
+
+def _problem(outcome: Outcome, region: str) -> Problem:
+    """The region's accepted requests under its first allowance."""
+    ledger = Ledger(outcome.agreement, region)
+    everything = outcome.agreement.converters
+    jobs = []
+    for one in outcome.observed.submitted:
+        if one.request.region == region and isinstance(one.result, Accepted):
+            length_ms = one.request.duration_ms + outcome.agreement.services[one.request.service].warm_up_ms
+            jobs.append(Job(one.request, tuple(everything[name] for name in one.request.converters), length_ms))
+    return Problem(
+        now_ms=0,
+        jobs=tuple(jobs),
+        limits=tuple(limit for service in outcome.agreement.services for limit in ledger.limits(service)),
+        converters={name: one for name, one in everything.items() if one.region == region},
+    )
+
+
+def claims(outcome: Outcome, planned: Sequence[PlannedRequest]) -> list[Claim]:
+    """What is claimed beyond the one rule."""
+    accepted = [one for one in outcome.observed.submitted if isinstance(one.result, Accepted)]
+    return [
+        *outcomes.common_claims(outcome),
+        Claim("requests handed in", len(outcome.observed.submitted), "==", len(planned)),
+        Claim("requests accepted, all that fit", len(accepted), "==", FITTING * len(REGIONS)),
+        Claim("requests that fit and were late", len(late(outcome)), "==", 0),
+        Claim("work done in time over the best plan's", utilisation(outcome), ">=", LEAST_UTILISATION),
+        Claim("polls in which a converter that was out was under no lease", len(outcomes.forgotten(outcome)), "==", 0),
+        Claim("converters that two leases had at once", len(outcomes.granted_twice(outcome)), "==", 0),
+    ]
+
+
+def perform(seed: int, scale: Scale, folder: Path, plant: str) -> tuple[list[Claim], Mapping[str, float]]:
+    """Play it once. Raises RigError."""
+    world = load("maintenance")
+    planned = draw_requests(world, seed)
+    outcome = outcomes.play(MaintenanceRig(world, seed, folder, Scenario(MAY_BE_OUT, planned, plant=plant)))
+    return claims(outcome, planned), outcomes.common_figures(outcome)
+
+
+EXPERIMENT = Measured(
+    "maintenance-overlap", "30 requests for windows that overlap, some that can't fit", perform, ("cold-counts",)
+)
--- /dev/null
+++ b/ryepier/experiments/maintenance/planted_coordinator.py
@@ -0,0 +1,43 @@
+"""A coordinator with one mistake put in on purpose.
+
+`python -m ryepier.experiments.maintenance.planted_coordinator PLANT ARGUMENTS` is otherwise one that
+`ryepier maintenance serve ARGUMENTS` starts.
+"""
+
+from __future__ import annotations
+
+import runpy
+import sys
+
+from ryepier.maintenance import coordinator
+from ryepier.maintenance.coordinator import CoordinatorParts
+from ryepier.maintenance.planted import PLANTED_LEDGERS
+from ryepier.maintenance.replication.planted import ForgetGrantStorage, VoteTwiceReplica
+
+PLANTS = {
+    "cold-counts": CoordinatorParts(ledger=PLANTED_LEDGERS["cold-counts"]),
+    "double-credit": CoordinatorParts(ledger=PLANTED_LEDGERS["double-credit"]),
+    "borrow": CoordinatorParts(ledger=PLANTED_LEDGERS["borrow"]),
+    "forget-grant": CoordinatorParts(storage=ForgetGrantStorage),
+    "vote-twice": CoordinatorParts(replica=VoteTwiceReplica),
+}
+
+
+def command(plant: str) -> list[str]:
+    """How to start a coordinator with this mistake; without one, as operators do."""
+    if not plant:
+        return [sys.executable, "-B", "-m", "ryepier", "maintenance", "serve"]
+    return [sys.executable, "-B", "-m", "ryepier.experiments.maintenance.planted_coordinator", plant]
+
+
+def main() -> None:
+    """Put the mistake in and serve."""
+    plant, *arguments = sys.argv[1:]
+    coordinator.USUAL_PARTS = PLANTS[plant]
+    # the command line lies above this floor, so it is started as a person would start it
+    sys.argv = ["ryepier", "maintenance", "serve", *arguments]
+    runpy.run_module("ryepier", run_name="__main__")
+
+
+if __name__ == "__main__":
+    main()
--- a/ryepier/maintenance/agent.py
+++ b/ryepier/maintenance/agent.py
@@ -149,8 +149,8 @@
         await self.fleet.do("stop", converter, token)
         await self.fleet.do("remove", converter, token)
         await asyncio.sleep(self.settings.work_s)
-        await self.fleet.do("start", converter, token)
-        await self.fleet.do("list", converter, token)
+        started = await self.fleet.do("start", converter, token)
+        await self.fleet.do("list", converter, token, started.uid)
 
     async def _until_idle(self, converter: str, token: int) -> None:
         """Wait for the answers in flight. Raises FleetError where they do not end."""
--- a/ryepier/maintenance/coordinator.py
+++ b/ryepier/maintenance/coordinator.py
@@ -49,6 +49,7 @@
 from ryepier.maintenance.ledger import Ledger
 from ryepier.maintenance.node import DeposedError, FatalError, Node, OpenedDisk, open_disk
 from ryepier.maintenance.observer import ListingError, WarmthTracker, fetch_listing
+from ryepier.maintenance.placement import FREEZE_MS
 from ryepier.maintenance.region_link import RegionLink
 from ryepier.maintenance.replication import storage
 from ryepier.maintenance.replication.core import NotLeaderError, ProtocolError, Replica, ReplicaSettings
@@ -64,6 +65,7 @@
 LOOK_EVERY_S = 0.3
 LISTING_WITHIN_S = 1.0
 ADVANCE_EVERY_S = 0.5
+IDLE_ADVANCE_MS = 10_000  # without a request: each step of the time is an entry in the log
 MAX_CALLS_PER_CONNECTION = 64  # that wait for their commit
 
 ALLOWED_COMMANDS: dict[ClientKind, tuple[type[Command], ...]] = {
@@ -75,7 +77,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CoordinatorSettings:
-    """What a coordinator is told. `discovery` is asked for the converters; None: nobody is seen."""
+    """What a coordinator is told. `discovery` is asked for the converters; None: nobody is seen.
+
+    Planned windows that start within `freeze_ms` are not moved by new requests.
+    """
 
     agreement: Agreement
     region: str
@@ -84,6 +89,7 @@
     seed: int
     bootstrap: bool = False
     discovery: tuple[str, int] | None = None
+    freeze_ms: int = FREEZE_MS
 
     @property
     def addresses(self) -> dict[str, tuple[str, int]]:
@@ -105,6 +111,9 @@
     ledger: type[Ledger] = Ledger
 
 
+USUAL_PARTS = CoordinatorParts()
+
+
 def addresses_of(agreement: Agreement, region: str) -> dict[str, tuple[str, int]]:
     """The replicas of a region, by name. Raises KeyError, ValueError."""
     return {one.name: parse_address(one.address) for one in agreement.regions[region].replicas}
@@ -113,8 +122,12 @@
 class Coordinator:
     """One replica on its sockets."""
 
-    def __init__(self, settings: CoordinatorSettings, parts: CoordinatorParts = CoordinatorParts()) -> None:
-        """Open the disk. Raises StorageError, KeyError for an unknown region, ValueError for an unknown replica."""
+    def __init__(self, settings: CoordinatorSettings, parts: CoordinatorParts | None = None) -> None:
+        """Open the disk; by default with the usual parts.
+
+        Raises StorageError, KeyError for an unknown region, ValueError for an unknown replica.
+        """
+        parts = parts or USUAL_PARTS
         self.settings = settings
         self.hello = PeerHello(VERSION, settings.region, settings.replica, settings.agreement.digest)
         self.peers: dict[str, Connection] = {}
@@ -125,8 +138,10 @@
             raise ValueError(f"region {settings.region!r} has no replica {settings.replica!r}")
         disk = open_disk(settings.folder, settings.identity, settings.bootstrap, parts.storage)
         self.node = self._make_node(parts, replica_settings, disk)
-        self.planning = Planning(self.ledger)
+        self.planning = Planning(self.ledger, settings.freeze_ms)
         self.granting = asyncio.Lock()
+        self.led_term = 0  # whose region time is counted from `zero_ms`
+        self.zero_ms = 0
         self.tracker = WarmthTracker(_warm_up_times(settings.agreement, settings.region))
         self.links = [RegionLink(settings.agreement, settings.region, other) for other in self._other_regions()]
         self.stop = asyncio.Event()
@@ -306,7 +321,7 @@
         if not replica.has_committed_in_term:  # a leader that has only just been elected may not know all yet
             raise NotLeaderError("" if replica.is_leader else replica.leader)
         if isinstance(call, StatusCall):
-            return status_of(call.number, self.node.replica, self.ledger, self.planning)
+            return status_of(call.number, self._region_now_ms(), replica, self.planning)
         if isinstance(call, LeaseCall):
             return await self._grant(hello, call)
         command = self._allowed_command(hello.kind, call)
@@ -341,17 +356,21 @@
 
     async def _advance(self) -> None:
         """Let the region's time go on, by this leader's own clock from where the last one left it."""
-        led_term = 0
-        zero_ms = 0
         while True:
             await asyncio.sleep(ADVANCE_EVERY_S)
-            replica = self.node.replica
-            if not replica.has_committed_in_term:
+            if not self.node.replica.has_committed_in_term:
                 continue
-            if replica.term != led_term:
-                led_term = replica.term
-                zero_ms = monotonic_ms() - self.ledger.now_ms
-            await self._try_propose(AdvanceTime(monotonic_ms() - zero_ms))
+            now_ms = self._region_now_ms()
+            idle = not self.ledger.state.requests
+            if not idle or now_ms >= self.ledger.now_ms + IDLE_ADVANCE_MS:
+                await self._try_propose(AdvanceTime(now_ms))
+
+    def _region_now_ms(self) -> int:
+        """The region's time, as far as this leader's clock has gone since it took the lead."""
+        if self.node.replica.term != self.led_term:
+            self.led_term = self.node.replica.term
+            self.zero_ms = monotonic_ms() - self.ledger.now_ms
+        return max(self.ledger.now_ms, monotonic_ms() - self.zero_ms)
 
     async def _look(self) -> None:
         """Look at the converters; the leader records what has changed."""
@@ -380,6 +399,7 @@
         while True:
             await asyncio.sleep(link.EVERY_S)
             if not self.node.replica.has_committed_in_term:
+                link.forget()
                 continue
             for command in link.commands_due(self.ledger):
                 await self._try_propose(command)
--- a/ryepier/maintenance/fleet.py
+++ b/ryepier/maintenance/fleet.py
@@ -23,24 +23,27 @@
 
 
 class FleetCall(msgspec.Struct, frozen=True):
-    """One step for one converter."""
+    """One step for one converter; `uid` names its new life where that is listed."""
 
     action: Action
     converter: str
     token: int
+    uid: str = ""
 
 
 class FleetReply(msgspec.Struct, frozen=True):
-    """Whether it was done. `in_flight` counts the requests that the converter has not answered."""
+    """Whether it was done. `in_flight` counts the requests that the converter has not answered; `uid` is the life
+    that was started."""
 
     refusal: str = ""
     in_flight: int = 0
+    uid: str = ""
 
 
 class Fleet(Protocol):
     """The tooling that an agent uses."""
 
-    async def do(self, action: Action, converter: str, token: int) -> FleetReply:
+    async def do(self, action: Action, converter: str, token: int, uid: str = "") -> FleetReply:
         """Do one step. Raises FleetError where it was refused or its outcome is unknown."""
 
 
@@ -74,11 +77,11 @@
             "in-flight": converters,
         }
 
-    async def do(self, action: Action, converter: str, token: int) -> FleetReply:
+    async def do(self, action: Action, converter: str, token: int, uid: str = "") -> FleetReply:
         """Do one step over a connection of its own. Raises FleetError."""
         try:
             async with asyncio.timeout(STEP_WITHIN_S):
-                reply = await self._ask(self.addresses[action], FleetCall(action, converter, token))
+                reply = await self._ask(self.addresses[action], FleetCall(action, converter, token, uid))
         except (OSError, EOFError, TimeoutError, msgspec.MsgspecError, ValueError) as error:
             raise FleetError(f"{action} {converter}: {type(error).__name__}: {error}") from None
         if reply.refusal:
--- a/ryepier/maintenance/region_link.py
+++ b/ryepier/maintenance/region_link.py
@@ -8,7 +8,14 @@
 from ryepier.maintenance.agreement import Agreement
 from ryepier.maintenance.api import ClientKind
 from ryepier.maintenance.client import CallError, RegionClient
-from ryepier.maintenance.commands import AcknowledgeTransfer, Command, CreditTransfer, DebitTransfer, RecordStanding
+from ryepier.maintenance.commands import (
+    AcknowledgeTransfer,
+    Command,
+    CreditTransfer,
+    DebitTransfer,
+    RecordStanding,
+    Standing,
+)
 from ryepier.maintenance.ledger import Ledger
 from ryepier.maintenance.results import Credited
 from ryepier.maintenance.transport import parse_address
@@ -31,6 +38,11 @@
         addresses = {one.name: parse_address(one.address) for one in agreement.regions[other].replicas}
         self.client = RegionClient(other, addresses, region, KIND)
         self.reachable = True
+        self.told: dict[str, Standing] | None = None
+
+    def forget(self) -> None:
+        """Another leader may have told something else meanwhile."""
+        self.told = None
 
     def commands_due(self, ledger: Ledger) -> list[Command]:
         """Debits that this region should commit for the other, before they are sent."""
@@ -41,8 +53,7 @@
         pending = [one for one in ledger.pending_transfers() if one.receiver == self.other]
         due: list[Command] = []
         try:
-            standing = RecordStanding(self.region, max(1, ledger.applied), ledger.standings())
-            await self.client.command(standing, self.WITHIN_S)
+            await self._tell_standings(ledger)
             for transfer in pending:
                 result = await self.client.command(CreditTransfer(transfer), self.WITHIN_S)
                 if isinstance(result, Credited):
@@ -53,6 +64,15 @@
             self._note_reachable(True, "")
         return due
 
+    async def _tell_standings(self, ledger: Ledger) -> None:
+        """Tell them where they have changed: each telling is an entry in the other region's log. Raises CallError."""
+        standings = ledger.standings()
+        if standings == self.told:
+            return
+        self.told = None  # until it is known that they have come
+        await self.client.command(RecordStanding(self.region, max(1, ledger.applied), standings), self.WITHIN_S)
+        self.told = standings
+
     def _note_reachable(self, reachable: bool, reason: str) -> None:
         """Log a change, not every try."""
         if reachable != self.reachable:
--- a/ryepier/maintenance/status.py
+++ b/ryepier/maintenance/status.py
@@ -8,8 +8,10 @@
 from ryepier.maintenance.commands import FULL_WARMTH, RecordObservation
 from ryepier.maintenance.ledger import Ledger
 from ryepier.maintenance.observer import Look
+from ryepier.maintenance.placement import FREEZE_MS, Schedule
+from ryepier.maintenance.problem import Window, problem_of
 from ryepier.maintenance.replication.core import Replica
-from ryepier.maintenance.scheduler import Schedule, Window, make_schedule, problem_of
+from ryepier.maintenance.scheduler import make_schedule
 from ryepier.maintenance.state import Lease
 from ryepier.maintenance.tables import LeaseState
 
@@ -19,9 +21,10 @@
 class Planning:
     """The schedule of a ledger, made anew when the ledger has changed."""
 
-    def __init__(self, ledger: Ledger) -> None:
-        """Look at `ledger`, which goes on changing."""
+    def __init__(self, ledger: Ledger, freeze_ms: int = FREEZE_MS) -> None:
+        """Look at `ledger`, which goes on changing; planned windows that start within `freeze_ms` are not moved."""
         self.ledger = ledger
+        self.freeze_ms = freeze_ms
         self.schedule = Schedule((), (), ())
         self.made_at = -1
 
@@ -29,7 +32,9 @@
         """The schedule as of the last command."""
         if self.made_at != self.ledger.applied:
             self.made_at = self.ledger.applied
-            self.schedule = make_schedule(problem_of(self.ledger, self.schedule.windows))
+            frozen_until_ms = self.ledger.now_ms + self.freeze_ms
+            fixed = [one for one in self.schedule.windows if one.start_ms < frozen_until_ms]
+            self.schedule = make_schedule(problem_of(self.ledger, fixed))
         return self.schedule
 
     def due_window(self) -> Window | None:
@@ -84,15 +89,16 @@
         )
 
 
-def status_of(number: int, replica: Replica, ledger: Ledger, planning: Planning) -> StatusReply:
-    """The region's state as its leader has applied it."""
+def status_of(number: int, now_ms: int, replica: Replica, planning: Planning) -> StatusReply:
+    """The region's state as its leader has applied it, at the region's time `now_ms`."""
+    ledger = planning.ledger
     return StatusReply(
         number=number,
         region=ledger.region,
         leader=replica.settings.name,
         term=replica.term,
         applied=ledger.applied,
-        now_ms=ledger.now_ms,
+        now_ms=now_ms,
         requests=planning.request_statuses(),
         leases=tuple(
             LeaseStatus(
