Play maintenance-kill, and let a restarted observer end leases

Cause found by it: after all coordinators of a region were killed, windows whose work was done stayed charged for ever, as the observers dated each converter's life by a region time that they had not learnt yet, before the lease. Change: such a life is counted anew, as cold, from then on. The experiment kills leaders at each step of a lease and a whole region, tears a file and empties a disk; planted forget-grant and vote-twice.

--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -26,7 +26,7 @@
     storms,
 )
 from ryepier.experiments.contract import Claim, Experiment, Measured, Run, Scale
-from ryepier.experiments.maintenance import overlap
+from ryepier.experiments.maintenance import kill, overlap
 from ryepier.experiments.worlds import load
 
 FULL_FLEET = 3  # `full` has so many times the converters, sidecars and traffic of `small`
@@ -332,5 +332,6 @@
         *scale_list.EXPERIMENTS,
         *scale_fail.EXPERIMENTS,
         overlap.EXPERIMENT,
+        kill.EXPERIMENT,
     )
 }
--- a/ryepier/experiments/maintenance/fleet_rig.py
+++ b/ryepier/experiments/maintenance/fleet_rig.py
@@ -50,6 +50,7 @@
     earliest_in_ms: int
     deadline_in_ms: int
     priority: Priority
+    fits: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +101,7 @@
         self.scenario = scenario
         self.observed = Observed()
         self.coordinators: dict[str, subprocess.Popen[bytes]] = {}
+        self.notes: list[str] = []  # what a scenario's faults met
         self.agents: dict[str, subprocess.Popen[bytes]] = {}
         text = agreement_text(world, self.plan.network, scenario.may_be_out)
         self.agreement: Agreement = agreements.parse(text.encode())
@@ -204,9 +206,13 @@
         """Wait for a moment of the run."""
         await asyncio.sleep(max(0.0, run_s - self.clock.now_us() / 1e6))
 
+    def addresses(self, region: str) -> dict[str, tuple[str, int]]:
+        """A region's coordinators."""
+        return addresses_of(self.agreement, region)
+
     def client(self, region: str) -> RegionClient:
         """A caller of a region's coordinators."""
-        return RegionClient(region, addresses_of(self.agreement, region), "operator", "operator")
+        return RegionClient(region, self.addresses(region), "operator", "operator")
 
     async def hand_in(self, region: str) -> None:
         """The requests of a region, each at its time."""
--- /dev/null
+++ b/ryepier/experiments/maintenance/kill.py
@@ -0,0 +1,160 @@
+"""`maintenance-kill`: leaders killed at each step of a lease, a whole region killed, a torn file, an empty disk."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import replace
+from functools import partial
+from pathlib import Path
+
+from ryepier.emulator.process import monotonic_us
+from ryepier.experiments.contract import Claim, Measured, Scale
+from ryepier.experiments.maintenance import outcome as outcomes
+from ryepier.experiments.maintenance.agreement_text import REGIONS, replica_names
+from ryepier.experiments.maintenance.fleet_rig import MaintenanceRig, Scenario
+from ryepier.experiments.maintenance.outcome import FOREVER_US, Outcome
+from ryepier.experiments.maintenance.overlap import FITTING, draw_requests
+from ryepier.experiments.worlds import load
+from ryepier.maintenance.api import StatusReply
+from ryepier.maintenance.client import CallError
+from ryepier.maintenance.replication import storage
+from ryepier.maintenance.results import Accepted
+from ryepier.maintenance.tables import LeaseState
+
+MAY_BE_OUT = 6
+DEADLINE_MS = 60_000  # of all: here the faults are the subject
+NEXT_GRANT_WITHIN_S = 5.0
+KILLED_AT = (LeaseState.GRANTED, LeaseState.DRAINING, LeaseState.RETURNING)
+FIRST_KILL_S = 2.0
+BETWEEN_KILLS_S = 2.5
+DOWN_S = 0.5
+REGION_KILL_S = 4.0
+EMPTY_DISK_S = 9.0
+STATE_WITHIN_S = 3.0  # for a lease to reach the state at which its leader is to be killed
+TORN_WRITE = b"\0\0\1\x2c\x77\x77"
+FAULTS = len(KILLED_AT) + 2
+
+
+async def kill_leaders(rig: MaintenanceRig) -> None:
+    """North: the leader is killed as soon as it says that a lease is in this state, for each state."""
+    await rig.until(FIRST_KILL_S)
+    for state in KILLED_AT:
+        leader = await _leader_when(rig, "north", partial(_has_lease_in, state))
+        rig.kill_coordinators(leader)
+        rig.observed.majority_back_us.append(("north", monotonic_us()))  # the two others are a majority
+        await asyncio.sleep(DOWN_S)
+        rig.start_coordinator(leader)
+        await asyncio.sleep(BETWEEN_KILLS_S)
+
+
+def _has_lease_in(state: LeaseState, status: StatusReply) -> bool:
+    """Whether a region has a lease in this state."""
+    return any(lease.state == state for lease in status.leases)
+
+
+async def _leader_when(rig: MaintenanceRig, region: str, holds: Callable[[StatusReply], bool]) -> str:
+    """Who leads once something holds, or when that has taken too long."""
+    client = rig.client(region)
+    ends_us = monotonic_us() + int(STATE_WITHIN_S * 1e6)
+    try:
+        while True:
+            status = await client.status(STATE_WITHIN_S)
+            if holds(status) or monotonic_us() > ends_us:
+                return status.leader
+            await asyncio.sleep(0.01)
+    finally:
+        client.close()
+
+
+async def kill_region(rig: MaintenanceRig) -> None:
+    """South: all are killed at once; one comes back with a torn file. Later one comes back with an empty disk."""
+    await rig.until(REGION_KILL_S)
+    names = replica_names("south")
+    rig.kill_coordinators(*names)
+    with (rig.coordinator_folder(names[0]) / storage.FILE_NAME).open("ab") as file:
+        file.write(TORN_WRITE)
+    for name in names:
+        rig.start_coordinator(name)
+    await _until_majority_listens(rig, "south")
+    rig.observed.majority_back_us.append(("south", monotonic_us()))
+    await rig.until(EMPTY_DISK_S)
+    leader = await rig.leader("south")
+    emptied = next(name for name in names if name != leader)
+    rig.kill_coordinators(emptied)
+    shutil.rmtree(rig.coordinator_folder(emptied))
+    rig.observed.majority_back_us.append(("south", monotonic_us()))
+    rig.start_coordinator(emptied)
+
+
+async def _until_majority_listens(rig: MaintenanceRig, region: str) -> None:
+    """Until a majority of a region's coordinators takes connections."""
+    addresses = rig.addresses(region)
+    listening: set[str] = set()
+    while len(listening) <= len(addresses) // 2:
+        for name, address in addresses.items():
+            try:
+                _, writer = await asyncio.open_connection(*address)
+            except OSError:
+                continue
+            writer.close()
+            listening.add(name)
+        await asyncio.sleep(0.02)
+
+
+async def strike(rig: MaintenanceRig) -> None:
+    """All faults, both regions at once."""
+    parts: tuple[Callable[[MaintenanceRig], Awaitable[None]], ...] = (kill_leaders, kill_region)
+
+    async def carry_out(part: Callable[[MaintenanceRig], Awaitable[None]]) -> None:
+        try:
+            await part(rig)
+        except CallError as error:  # no leader is there to be killed: the claim on the number of faults tells
+            rig.notes.append(str(error))
+
+    await asyncio.gather(*(carry_out(part) for part in parts))
+
+
+def next_grant_s(outcome: Outcome) -> list[float]:
+    """From each moment at which a majority was back to the region's next window, where requests still waited then."""
+    found = []
+    for region, back_us in outcome.observed.majority_back_us:
+        later = [at_us for at_us in outcomes.window_begins_us(outcome, region) if at_us > back_us]
+        if later:
+            found.append((later[0] - back_us) / 1e6)
+    return found
+
+
+def claims(outcome: Outcome) -> list[Claim]:
+    """What is claimed beyond the one rule."""
+    accepted = [one for one in outcome.observed.submitted if isinstance(one.result, Accepted)]
+    done = [one for one in accepted if outcomes.done_us(outcome, one.request.converters) < FOREVER_US]
+    elections = [outcomes.elections_by_term(outcome, replica_names(region)) for region in REGIONS]
+    return [
+        *outcomes.common_claims(outcome),
+        Claim("faults carried out", len(outcome.observed.majority_back_us), "==", FAULTS),
+        Claim("leaders of one term, most", max(max(one.values(), default=0) for one in elections), "==", 1),
+        Claim("polls in which a converter that was out was under no lease", len(outcomes.forgotten(outcome)), "==", 0),
+        Claim("converters that two leases had at once", len(outcomes.granted_twice(outcome)), "==", 0),
+        Claim("requests accepted", len(accepted), "==", FITTING * len(REGIONS)),
+        Claim("of them done by the end", len(done), "==", FITTING * len(REGIONS)),
+        Claim("next window after a majority is back (s)", max(next_grant_s(outcome)), "<=", NEXT_GRANT_WITHIN_S),
+    ]
+
+
+def perform(seed: int, scale: Scale, folder: Path, plant: str) -> tuple[list[Claim], Mapping[str, float]]:
+    """Play it once. Raises RigError."""
+    world = load("maintenance")
+    planned = [replace(one, deadline_in_ms=DEADLINE_MS) for one in draw_requests(world, seed) if one.fits]
+    outcome = outcomes.play(MaintenanceRig(world, seed, folder, Scenario(MAY_BE_OUT, planned, strike, plant)))
+    grants = {f"next_grant_{number}_s": value for number, value in enumerate(next_grant_s(outcome))}
+    return claims(outcome), outcomes.common_figures(outcome) | grants
+
+
+EXPERIMENT = Measured(
+    "maintenance-kill",
+    "leaders and a whole region of coordinators killed, a torn file, an empty disk",
+    perform,
+    ("forget-grant", "vote-twice"),
+)
--- a/ryepier/experiments/maintenance/outcome.py
+++ b/ryepier/experiments/maintenance/outcome.py
@@ -20,6 +20,7 @@
 
 RULES = ("unanswered", "broken", "second-answer", "run-twice", "unsafe-resend", "together", "drain", "cold", "crash")
 FOREVER_US = 10**18
+LEADS = "leader in term "
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,15 +151,21 @@
     return [one for one in outcome.outages if len(one.tokens) > 1]
 
 
-def leaders_by_term(outcome: Outcome, names: Sequence[str]) -> Mapping[int, set[str]]:
-    """Who said in its log that it leads a term of one region."""
-    leaders: dict[int, set[str]] = defaultdict(set)
-    for name in names:
+def elections_by_term(outcome: Outcome, replicas: Sequence[str]) -> Mapping[int, int]:
+    """How often replicas of one region said that they now lead a term; more than once is once too often."""
+    elections: Counter[int] = Counter()
+    for name in replicas:
         for line in log_lines(outcome.folder / f"{name}.log"):
             message = str(line.get("message", ""))
-            if message.startswith("leader in term "):
-                leaders[int(message.rpartition(" ")[2])].add(name)
-    return leaders
+            if message.startswith(LEADS):
+                elections[int(message.removeprefix(LEADS))] += 1
+    return elections
+
+
+def window_begins_us(outcome: Outcome, region: str) -> list[int]:
+    """When the region's agent was given its leases: each first drain of an outage follows at once."""
+    here = outcome.agreement.converters
+    return sorted(one.begun_us for one in outcome.outages if here[one.converter].region == region)
 
 
 def log_lines(path: Path) -> Iterator[dict[str, object]]:
--- a/ryepier/experiments/maintenance/overlap.py
+++ b/ryepier/experiments/maintenance/overlap.py
@@ -63,7 +63,9 @@
 
     def misfit(name: str, named: tuple[str, ...], deadline_ms: int) -> PlannedRequest:
         at_s = LAST_HAND_IN_S
-        return PlannedRequest(f"{region}-{name}", region, named, 1, DURATION_MS, at_s, 0, deadline_ms, Priority.URGENT)
+        return PlannedRequest(
+            f"{region}-{name}", region, named, 1, DURATION_MS, at_s, 0, deadline_ms, Priority.URGENT, fits=False
+        )
 
     return [
         misfit("no-time", (converters[0],), NEAR_DEADLINE_MS),
--- a/ryepier/experiments/maintenance/planted_coordinator.py
+++ b/ryepier/experiments/maintenance/planted_coordinator.py
@@ -12,14 +12,14 @@
 from ryepier.maintenance import coordinator
 from ryepier.maintenance.coordinator import CoordinatorParts
 from ryepier.maintenance.planted import PLANTED_LEDGERS
-from ryepier.maintenance.replication.planted import ForgetGrantStorage, VoteTwiceReplica
+from ryepier.maintenance.replication.planted import ForgetGrantStorage, ForgetVoteStorage, VoteTwiceReplica
 
 PLANTS = {
     "cold-counts": CoordinatorParts(ledger=PLANTED_LEDGERS["cold-counts"]),
     "double-credit": CoordinatorParts(ledger=PLANTED_LEDGERS["double-credit"]),
     "borrow": CoordinatorParts(ledger=PLANTED_LEDGERS["borrow"]),
     "forget-grant": CoordinatorParts(storage=ForgetGrantStorage),
-    "vote-twice": CoordinatorParts(replica=VoteTwiceReplica),
+    "vote-twice": CoordinatorParts(replica=VoteTwiceReplica, storage=ForgetVoteStorage),
 }
 
 
--- a/ryepier/maintenance/coordinator.py
+++ b/ryepier/maintenance/coordinator.py
@@ -389,6 +389,8 @@
                 continue
             reachable = True
             looks = self.tracker.look(monotonic_ms(), region_ms, listing)
+            for converter in self.planning.doubtful(looks):
+                self.tracker.doubt(converter, monotonic_ms(), region_ms)
             if self.node.replica.has_committed_in_term:
                 observation = self.planning.observation(self.settings.replica, as_of, looks)
                 if observation is not None:
--- a/ryepier/maintenance/observer.py
+++ b/ryepier/maintenance/observer.py
@@ -86,6 +86,13 @@
                 looks.append(Look(Sighting(converter, True, warmth), life.since_region_ms))
         return tuple(looks)
 
+    def doubt(self, converter: str, now_ms: int, region_ms: int) -> None:
+        """Count the present life of a converter anew from now on, as cold."""
+        life = self.lives.get(converter)
+        if life is not None:
+            self.seen_down.add(converter)
+            self.lives[converter] = _Life(life.uid, now_ms, region_ms)
+
 
 def _warmth(age_ms: int, warm_up_ms: int) -> int:
     """Warmth in thousandths, rising evenly and rounded down."""
--- a/ryepier/maintenance/replication/planted.py
+++ b/ryepier/maintenance/replication/planted.py
@@ -22,3 +22,11 @@
     def save(self, ready: Ready) -> None:
         """Keep the term and the vote only."""
         super().save(replace(ready, first_index=0, entries=()))
+
+
+class ForgetVoteStorage(FileStorage):
+    """`vote-twice`, over a restart: term and vote are not on disk, so a replica votes again in the same term."""
+
+    def save(self, ready: Ready) -> None:
+        """Keep the entries only."""
+        super().save(replace(ready, hard_state=None))
--- a/ryepier/maintenance/status.py
+++ b/ryepier/maintenance/status.py
@@ -49,13 +49,28 @@
             return None
         return RecordObservation(observer, as_of + 1, as_of, telling)
 
+    def doubtful(self, looks: Iterable[Look]) -> list[str]:
+        """Converters whose maintenance is done, but whose life seems to be the one from before it.
+
+        Either the listing is late, or this observer has not known the region's time for long. Both are over once the
+        life has been listed for a whole time to warm up from now on.
+        """
+        found = []
+        for look in looks:
+            lease = self._lease_of(look.sighting.converter)
+            if lease is None or lease.state is not LeaseState.RETURNING or not look.sighting.ready:
+                continue
+            if look.life_began_ms < lease.granted_ms:
+                found.append(look.sighting.converter)
+        return found
+
     def _tells(self, look: Look) -> bool:
         """Whether a look is news."""
         sighting = look.sighting
         lease = self._lease_of(sighting.converter)
         if lease is not None and sighting.ready:
             if lease.state is not LeaseState.CALLED_OFF and look.life_began_ms < lease.granted_ms:
-                return False  # a listing that is late: this is the life from before the maintenance
+                return False
             if lease.state in AWAITING_SIGHT and sighting.warmth == FULL_WARMTH:
                 return True
         seen = self.ledger.state.seen.get(sighting.converter)
--- a/tests/test_maintenance_processes.py
+++ b/tests/test_maintenance_processes.py
@@ -19,22 +19,27 @@
 from ryepier.maintenance.api import VERSION, ClientHello, Frame, PeerHello, Refusal, StatusReply
 from ryepier.maintenance.client import CallError, RegionClient
 from ryepier.maintenance.commands import (
+    AdvanceTime,
     BeginDrain,
     Command,
     DebitTransfer,
     GrantLease,
     ReleaseLease,
     Request,
+    Sighting,
     SubmitRequest,
     Transfer,
 )
 from ryepier.maintenance.coordinator import addresses_of
+from ryepier.maintenance.observer import Listed, WarmthTracker
 from ryepier.maintenance.replication import storage
 from ryepier.maintenance.replication.messages import AppendEntries, RequestVote
 from ryepier.maintenance.results import Accepted, Begun, Granted, Refused, Released, Result
+from ryepier.maintenance.status import Planning
 from ryepier.maintenance.transport import MAX_FRAME_BYTES, Connection, TransportError, encode
 
 from .maintenance_world import SERVICE, converters_text, request
+from .maintenance_world import north as north_ledger
 from .net import free_port
 
 WITHIN_S = 30.0  # no test waits for it on purpose: it ends one that hangs
@@ -398,3 +403,48 @@
         assert isinstance(refused, Refused) and "named twice" in refused.reason
 
     run(north, test)
+
+
+# What an observer makes of listings
+
+
+def looks_of(tracker: WarmthTracker, now_ms: int, *uids: str, region_ms: int = 0) -> dict[str, tuple[bool, int]]:
+    looks = tracker.look(now_ms, region_ms, [Listed(uid, True) for uid in uids])
+    return {one.sighting.converter: (one.sighting.ready, one.sighting.warmth) for one in looks}
+
+
+def test_a_converter_of_unknown_age_is_left_out_until_it_must_be_warm() -> None:
+    tracker = WarmthTracker({"a": 2000})
+    assert looks_of(tracker, 0, "a") == {}
+    assert looks_of(tracker, 1999, "a") == {}
+    assert looks_of(tracker, 2000, "a") == {"a": (True, 1000)}
+
+
+def test_a_new_life_warms_up_by_the_observers_own_clock() -> None:
+    tracker = WarmthTracker({"a": 2000})
+    looks_of(tracker, 0, "a")
+    assert looks_of(tracker, 5000) == {"a": (False, 0)}
+    assert looks_of(tracker, 6000, "a.1") == {"a": (True, 0)}
+    assert looks_of(tracker, 7000, "a.1") == {"a": (True, 500)}
+    assert looks_of(tracker, 7500, "a.2") == {"a": (True, 0)}, "yet another life, with no look between"
+    assert looks_of(tracker, 9500, "a.2") == {"a": (True, 1000)}
+
+
+def test_a_late_listing_ends_no_lease_and_an_observer_that_came_late_ends_it_in_time() -> None:
+    region = north_ledger()
+    granted = region.hold("r1", "n00")
+    region.apply(AdvanceTime(5_000))
+    planning = Planning(region.ledger)
+    tracker = WarmthTracker({"n00": 2000})
+    region.apply(BeginDrain("r1/1", granted.token))
+    region.ledger.state.leases["r1/1"].granted_ms = 5_000
+    tracker.look(0, 4_000, [Listed("n00", True)])  # from before the grant
+    region.apply(ReleaseLease("r1/1", granted.token))
+    looks = tracker.look(3_000, 5_000, [Listed("n00", True)])
+    assert planning.observation("x", region.ledger.applied, looks) is None
+    assert planning.doubtful(looks) == ["n00"]
+    tracker.doubt("n00", 3_000, 5_000)
+    early = planning.observation("x", region.ledger.applied, tracker.look(4_999, 5_000, [Listed("n00", True)]))
+    assert early is not None and early.sightings[0].warmth < 1000
+    told = planning.observation("x", region.ledger.applied, tracker.look(5_000, 5_000, [Listed("n00", True)]))
+    assert told is not None and told.sightings == (Sighting("n00", True, 1000),)
