--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -26,7 +26,7 @@
     storms,
 )
 from ryepier.experiments.contract import Claim, Experiment, Measured, Run, Scale
-from ryepier.experiments.maintenance import kill, overlap
+from ryepier.experiments.maintenance import cut, kill, overlap
 from ryepier.experiments.worlds import load
 
 FULL_FLEET = 3  # `full` has so many times the converters, sidecars and traffic of `small`
@@ -333,5 +333,6 @@
         *scale_fail.EXPERIMENTS,
         overlap.EXPERIMENT,
         kill.EXPERIMENT,
+        cut.EXPERIMENT,
     )
 }
--- a/ryepier/experiments/maintenance/agreement_text.py
+++ b/ryepier/experiments/maintenance/agreement_text.py
@@ -11,9 +11,10 @@
 PORT = 7500
 
 
-def coordinator_address(network: int, region: str, replica: int) -> str:
-    """Where a coordinator listens."""
-    return f"127.{network}.250.{10 * (list(REGIONS).index(region) + 1) + replica}:{PORT}"
+def coordinator_address(network: int, region: str, replica: int, relayed: bool = False) -> str:
+    """Where a coordinator listens, or the relay before it."""
+    subnet = 249 if relayed else 250
+    return f"127.{network}.{subnet}.{10 * (list(REGIONS).index(region) + 1) + replica}:{PORT}"
 
 
 def replica_names(region: str) -> list[str]:
@@ -32,14 +33,14 @@
     return {first_uid(place): zone for place, zone in enumerate(zones)}
 
 
-def agreement_text(world: World, network: int, may_be_out: int) -> str:
+def agreement_text(world: World, network: int, may_be_out: int, least_part: int, relayed_for: str | None = None) -> str:
     """The agreement as a file: so many converters may be out globally, half of them by each region.
 
-    A region keeps all of its half but one converter's: with a smaller part, the one that asks first would get most.
+    A region keeps at least `least_part`. Where the file is `relayed_for` a region, it reaches the others by relays.
     """
     count = world.converter_count
     half = may_be_out // len(REGIONS)
-    lines = [f'[[services]]\nname = "{SERVICE}"\nleast = {count - may_be_out}\nleast_part = {half - 1}']
+    lines = [f'[[services]]\nname = "{SERVICE}"\nleast = {count - may_be_out}\nleast_part = {least_part}']
     lines.append(f"warm_up_s = {world.warmth.warm_up_s}")
     for region in REGIONS:
         least = len(region_converters(world, region)) - may_be_out + 1
@@ -47,7 +48,8 @@
     for region in REGIONS:
         lines.append(f'[[regions]]\nname = "{region}"')
         for number, name in enumerate(replica_names(region)):
-            address = coordinator_address(network, region, number)
+            relayed = relayed_for not in (None, region)
+            address = coordinator_address(network, region, number, relayed)
             lines.append(f'[[regions.replicas]]\nname = "{name}"\naddress = "{address}"')
     for region in REGIONS:
         zones = converter_zones(world)
--- /dev/null
+++ b/ryepier/experiments/maintenance/cut.py
@@ -0,0 +1,106 @@
+"""`maintenance-cut`: regions lose each other for 20 s in the middle of transfers; frames late, doubled, reordered."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+
+from ryepier.experiments.contract import Claim, Measured, Scale
+from ryepier.experiments.maintenance import outcome as outcomes
+from ryepier.experiments.maintenance.agreement_text import REGIONS
+from ryepier.experiments.maintenance.fleet_rig import MaintenanceRig, PlannedRequest, Scenario
+from ryepier.experiments.maintenance.outcome import FOREVER_US, Outcome
+from ryepier.experiments.maintenance.overlap import FITTING, draw_requests
+from ryepier.experiments.worlds import load
+from ryepier.maintenance.results import Accepted
+
+MAY_BE_OUT = 8
+LEAST_PART = 1  # so that much is lent
+DEADLINE_MS = 60_000
+DURATION_S = 32.0
+NORTH_FROM_S, SOUTH_FROM_S = 0.0, 3.0  # north wants more than its part at first, then both do
+HAND_IN_OVER_S = 1.0
+WHILE_CUT_S = 9.0
+CUT_AT_S, HEALED_AT_S = 5.0, 25.0
+LEAST_MOVES = 2  # changes of an allowance that polls saw
+
+
+def requests_of(planned: PlannedRequest) -> PlannedRequest:
+    """The same request, handed in when its region's turn is; every second one while the regions are cut off."""
+    from_s = NORTH_FROM_S if planned.region == "north" else SOUTH_FROM_S
+    if int(planned.name.rpartition("-")[2]) % 2:
+        from_s = WHILE_CUT_S
+    at_s = from_s + HAND_IN_OVER_S * (planned.at_s % 1.0)
+    return replace(planned, at_s=at_s, earliest_in_ms=0, deadline_in_ms=DEADLINE_MS)
+
+
+async def cut_and_heal(rig: MaintenanceRig) -> None:
+    """The regions lose each other, and find each other again."""
+    await rig.until(CUT_AT_S)
+    for relay in rig.relays:
+        relay.cut()
+    await rig.until(HEALED_AT_S)
+    for relay in rig.relays:
+        relay.heal()
+
+
+def windows_while_cut(outcome: Outcome, region: str) -> int:
+    """Windows that a region began while it was cut off, but for the first second, when some were granted before."""
+    begins_us = outcome.zero_us + int((CUT_AT_S + 1.0) * 1e6)
+    ends_us = outcome.zero_us + int(HEALED_AT_S * 1e6)
+    return sum(begins_us < at_us < ends_us for at_us in outcomes.window_begins_us(outcome, region))
+
+
+def allowances(outcome: Outcome, region: str) -> list[int]:
+    """A region's allowance in each poll, in thousandths."""
+    return [poll.status.capacities[0].allowance for poll in outcome.observed.polls if poll.region == region]
+
+
+def moves(outcome: Outcome) -> int:
+    """How often polls saw an allowance change."""
+    seen = [allowances(outcome, region) for region in REGIONS]
+    return sum(before != after for one in seen for before, after in zip(one, one[1:], strict=False))
+
+
+def claims(outcome: Outcome) -> list[Claim]:
+    """What is claimed beyond the one rule."""
+    accepted = [one for one in outcome.observed.submitted if isinstance(one.result, Accepted)]
+    done = [one for one in accepted if outcomes.done_us(outcome, one.request.converters) < FOREVER_US]
+    last = sum(allowances(outcome, region)[-1] for region in REGIONS)
+    whole = outcome.agreement.may_be_out(accepted[0].request.service)
+    return [
+        *outcomes.common_claims(outcome),
+        Claim("changes of an allowance seen", moves(outcome), ">=", LEAST_MOVES),
+        *(
+            Claim(f"windows that {region} began while cut off", windows_while_cut(outcome, region), ">=", 1)
+            for region in REGIONS
+        ),
+        Claim("allowances at the end (thousandths), the whole", last, "==", whole),
+        Claim("polls in which a converter that was out was under no lease", len(outcomes.forgotten(outcome)), "==", 0),
+        Claim("converters that two leases had at once", len(outcomes.granted_twice(outcome)), "==", 0),
+        Claim("requests done by the end", len(done), "==", FITTING * len(REGIONS)),
+    ]
+
+
+def perform(seed: int, scale: Scale, folder: Path, plant: str) -> tuple[list[Claim], Mapping[str, float]]:
+    """Play it once. Raises RigError."""
+    world = msgspec.structs.replace(load("maintenance"), duration_s=DURATION_S)
+    planned = [requests_of(one) for one in draw_requests(world, seed) if one.fits]
+    scenario = Scenario(MAY_BE_OUT, LEAST_PART, planned, cut_and_heal, plant, relayed=True)
+    rig = MaintenanceRig(world, seed, folder, scenario)
+    outcome = outcomes.play(rig)
+    return claims(outcome), outcomes.common_figures(outcome) | {
+        "frames_doubled": float(sum(relay.doubled for relay in rig.relays)),
+        "allowance_changes_seen": float(moves(outcome)),
+    }
+
+
+EXPERIMENT = Measured(
+    "maintenance-cut",
+    "regions cut off from each other in the middle of transfers, frames late and doubled",
+    perform,
+    ("double-credit", "borrow"),
+)
--- a/ryepier/experiments/maintenance/fleet_rig.py
+++ b/ryepier/experiments/maintenance/fleet_rig.py
@@ -17,8 +17,15 @@
 from ryepier.emulator.world import World
 from ryepier.experiments.maintenance import planted_coordinator
 from ryepier.experiments.maintenance.agent_process import AgentPlan
-from ryepier.experiments.maintenance.agreement_text import REGIONS, SERVICE, agreement_text, replica_names
+from ryepier.experiments.maintenance.agreement_text import (
+    REGIONS,
+    SERVICE,
+    agreement_text,
+    coordinator_address,
+    replica_names,
+)
 from ryepier.experiments.maintenance.fleet_process import JOURNAL_SUFFIX, JournalLine, control_address
+from ryepier.experiments.maintenance.relay import Relay
 from ryepier.maintenance import agreement as agreements
 from ryepier.maintenance.agreement import Agreement
 from ryepier.maintenance.api import StatusReply
@@ -26,6 +33,7 @@
 from ryepier.maintenance.commands import Priority, Request, SubmitRequest
 from ryepier.maintenance.coordinator import addresses_of
 from ryepier.maintenance.results import Result
+from ryepier.maintenance.transport import parse_address
 
 ROLE_MODULE = "ryepier.experiments.maintenance.fleet_process"
 AGENT_MODULE = "ryepier.experiments.maintenance.agent_process"
@@ -78,9 +86,11 @@
     """What is played beside the world's own load."""
 
     may_be_out: int
+    least_part: int  # that a region never lends
     requests: Sequence[PlannedRequest]
     faults: Callable[[MaintenanceRig], Awaitable[None]] | None = None
     plant: str = ""
+    relayed: bool = False  # the regions reach one another by relays
 
 
 @dataclass(slots=True)
@@ -103,11 +113,23 @@
         self.coordinators: dict[str, subprocess.Popen[bytes]] = {}
         self.notes: list[str] = []  # what a scenario's faults met
         self.agents: dict[str, subprocess.Popen[bytes]] = {}
-        text = agreement_text(world, self.plan.network, scenario.may_be_out)
-        self.agreement: Agreement = agreements.parse(text.encode())
-        self.agreement_path = folder / "agreement.toml"
+        self.relays: list[Relay] = []
         folder.mkdir(parents=True, exist_ok=True)
-        self.agreement_path.write_text(text)
+        self.agreement_path = self.write_agreement("agreement", None)
+        self.agreement: Agreement = agreements.parse(self.agreement_path.read_bytes())
+        self.region_agreements = {
+            region: self.write_agreement(f"agreement-{region}", region if scenario.relayed else None)
+            for region in REGIONS
+        }
+
+    def write_agreement(self, name: str, relayed_for: str | None) -> Path:
+        """One file of the agreement."""
+        scenario = self.scenario
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            agreement_text(self.world, self.plan.network, scenario.may_be_out, scenario.least_part, relayed_for)
+        )
+        return path
 
     # Processes
 
@@ -132,8 +154,16 @@
         region = name.partition("-")[0]
         number = [one for each in REGIONS for one in replica_names(each)].index(name)
         host, port = self.plan.discovery_address(number % self.world.sidecars.count)
-        command = [*planted_coordinator.command(self.scenario.plant), "--agreement", str(self.agreement_path)]
-        command += ["--region", region, "--replica", name, "--folder", str(self.coordinator_folder(name))]
+        command = [*planted_coordinator.command(self.scenario.plant), "--agreement"]
+        command += [
+            str(self.region_agreements[region]),
+            "--region",
+            region,
+            "--replica",
+            name,
+            "--folder",
+            str(self.coordinator_folder(name)),
+        ]
         command += [
             "--discovery",
             f"{host}:{port}",
@@ -186,6 +216,8 @@
         """The world's own steps, the agents, the requests and the faults, until the world's end."""
         for region in REGIONS:
             self.start_agent(region)
+        if self.scenario.relayed:
+            await self.start_relays()
         async with asyncio.TaskGroup() as group:
             polling = [group.create_task(self.poll(region)) for region in REGIONS]
             group.create_task(super().steps())
@@ -198,6 +230,18 @@
                 task.cancel()
         self.end_maintenance()
 
+    async def start_relays(self) -> None:
+        """A relay before each coordinator."""
+        for region in REGIONS:
+            for number, _ in enumerate(replica_names(region)):
+                listen, target = (
+                    parse_address(coordinator_address(self.plan.network, region, number, relayed))
+                    for relayed in (True, False)
+                )
+                relay = Relay(listen, target, self.plan.seed * 100 + len(self.relays))
+                await relay.start()
+                self.relays.append(relay)
+
     async def _strike(self, faults: Callable[[MaintenanceRig], Awaitable[None]]) -> None:
         """Carry the scenario's faults out."""
         await faults(self)
--- a/ryepier/experiments/maintenance/kill.py
+++ b/ryepier/experiments/maintenance/kill.py
@@ -24,6 +24,7 @@
 from ryepier.maintenance.tables import LeaseState
 
 MAY_BE_OUT = 6
+LEAST_PART = 2
 DEADLINE_MS = 60_000  # of all: here the faults are the subject
 NEXT_GRANT_WITHIN_S = 5.0
 KILLED_AT = (LeaseState.GRANTED, LeaseState.DRAINING, LeaseState.RETURNING)
@@ -54,6 +55,20 @@
     return any(lease.state == state for lease in status.leases)
 
 
+class NewDrain:
+    """Holds once a lease is draining that was not before."""
+
+    def __init__(self) -> None:
+        """Nothing was seen yet."""
+        self.known: set[str] | None = None
+
+    def __call__(self, status: StatusReply) -> bool:
+        """Whether this status shows one."""
+        draining = {lease.name for lease in status.leases if lease.state == LeaseState.DRAINING}
+        known, self.known = self.known, draining
+        return known is not None and bool(draining - known)
+
+
 async def _leader_when(rig: MaintenanceRig, region: str, holds: Callable[[StatusReply], bool]) -> str:
     """Who leads once something holds, or when that has taken too long."""
     client = rig.client(region)
@@ -72,6 +87,8 @@
     """South: all are killed at once; one comes back with a torn file. Later one comes back with an empty disk."""
     await rig.until(REGION_KILL_S)
     names = replica_names("south")
+    # a window has only just begun, so that it is open still when the region is back
+    await _leader_when(rig, "south", NewDrain())
     rig.kill_coordinators(*names)
     with (rig.coordinator_folder(names[0]) / storage.FILE_NAME).open("ab") as file:
         file.write(TORN_WRITE)
@@ -147,7 +164,9 @@
     """Play it once. Raises RigError."""
     world = load("maintenance")
     planned = [replace(one, deadline_in_ms=DEADLINE_MS) for one in draw_requests(world, seed) if one.fits]
-    outcome = outcomes.play(MaintenanceRig(world, seed, folder, Scenario(MAY_BE_OUT, planned, strike, plant)))
+    outcome = outcomes.play(
+        MaintenanceRig(world, seed, folder, Scenario(MAY_BE_OUT, LEAST_PART, planned, strike, plant))
+    )
     grants = {f"next_grant_{number}_s": value for number, value in enumerate(next_grant_s(outcome))}
     return claims(outcome), outcomes.common_figures(outcome) | grants
 
--- a/ryepier/experiments/maintenance/overlap.py
+++ b/ryepier/experiments/maintenance/overlap.py
@@ -22,6 +22,7 @@
 from ryepier.maintenance.results import Accepted
 
 MAY_BE_OUT = 8
+LEAST_PART = 3  # of 4: with less, the region that asks first would get most
 FITTING = 12  # requests a region, of one converter each
 LEAST_UTILISATION = 0.8
 DURATION_MS = 2_500  # of one converter; what an agent needs is less, so that its report may be a little late
@@ -135,7 +136,7 @@
     """Play it once. Raises RigError."""
     world = load("maintenance")
     planned = draw_requests(world, seed)
-    outcome = outcomes.play(MaintenanceRig(world, seed, folder, Scenario(MAY_BE_OUT, planned, plant=plant)))
+    outcome = outcomes.play(MaintenanceRig(world, seed, folder, Scenario(MAY_BE_OUT, LEAST_PART, planned, plant=plant)))
     return claims(outcome, planned), outcomes.common_figures(outcome)
 
 
--- a/ryepier/maintenance/coordinator.py
+++ b/ryepier/maintenance/coordinator.py
@@ -232,8 +232,8 @@
                 connection.send(Refusal(str(error)[:1000]))
         except FatalError as error:
             self._fail(error)
-        except (OSError, EOFError):
-            pass
+        except (OSError, EOFError, asyncio.CancelledError):
+            pass  # the other side has gone, or this process ends
         finally:
             connection.close()
 
