Plant a stale look and an overdrawn transfer, which the drawn runs were blind to

Change: both are planted ledgers now; drawn runs have several observers, looks that are late, transfers without standings.

--- a/ryepier/maintenance/ledger.py
+++ b/ryepier/maintenance/ledger.py
@@ -417,16 +417,18 @@
     def _debit(self, transfer: Transfer) -> Result:
         reason = self._why_not_transfer(transfer, transfer.giver, transfer.receiver)
         if reason is None:
-            capacity = self.capacity(transfer.service)
-            least = self.agreement.services[transfer.service].least_part
-            spare = capacity.allowance - max(capacity.out + capacity.lost, least)
-            reason = self.state.escrow.debit(transfer, spare)
+            reason = self.state.escrow.debit(transfer, self._spared(transfer.service))
         if reason:
             return Refused(reason)
         if self.state.escrow.giver_state(transfer) is TransferState.ACKNOWLEDGED:
             return Acknowledged(transfer)
         return Debited(transfer)
 
+    def _spared(self, service: str) -> int:
+        """What may be given away of the allowance: nothing that is out or lost, nor the region's least part."""
+        capacity = self.capacity(service)
+        return capacity.allowance - max(capacity.out + capacity.lost, self.agreement.services[service].least_part)
+
     def _credit(self, transfer: Transfer) -> Result:
         reason = self._why_not_transfer(transfer, transfer.receiver, transfer.giver)
         if reason:
--- a/ryepier/maintenance/planted.py
+++ b/ryepier/maintenance/planted.py
@@ -87,6 +87,20 @@
     view_type = IgnoreLossView
 
 
+class StaleLookLedger(Ledger):
+    """A look that was begun before the release ends a lease."""
+
+    def _bring_back(self, converter: str, seen: Seen) -> list[str]:
+        return super()._bring_back(converter, Seen(seen.ready, seen.warmth, self.state.applied))
+
+
+class OverdrawLedger(Ledger):
+    """A region gives away what its leases have out."""
+
+    def _spared(self, service: str) -> int:
+        return self.capacity(service).allowance
+
+
 PLANTED_LEDGERS: dict[str, type[Ledger]] = {
     "cold-counts": ColdCountsLedger,
     "expiry-frees": ExpiryFreesLedger,
@@ -94,4 +108,6 @@
     "borrow": BorrowLedger,
     "forget-grant": ForgetGrantLedger,
     "ignore-loss": IgnoreLossLedger,
+    "stale-look": StaleLookLedger,
+    "overdraw": OverdrawLedger,
 }
--- a/tests/maintenance_cluster.py
+++ b/tests/maintenance_cluster.py
@@ -40,6 +40,8 @@
 
 from .maintenance_world import request
 
+OBSERVERS = 3  # so that a late look is not always refused as one that its observer has surpassed
+
 
 @dataclass
 class Truth:
@@ -232,7 +234,8 @@
             for name, one in self.agreement.converters.items()
             if one.region == region
         )
-        command = RecordObservation("watch", self.sequence, self.ledger(region).applied, sightings)
+        observer = f"watch-{self.sequence % OBSERVERS}"
+        command = RecordObservation(observer, self.sequence, self.ledger(region).applied, sightings)
         self.looks.append(Look(region, command))
 
     def report(self, number: int, *, keep: bool = False) -> None:
@@ -256,10 +259,15 @@
         for transfer in self.ledger(region).transfers_due():
             self.apply(region, DebitTransfer(transfer))
 
+    def send_transfers(self, region: str) -> None:
+        """All that is pending goes out, again."""
+        pending = self.ledger(region).pending_transfers()
+        self.network += [Message(one.receiver, CreditTransfer(one)) for one in pending]
+
     def send(self, region: str) -> None:
-        """All that is pending goes out again, with the region's standing."""
+        """The region's standing goes out with its transfers."""
+        self.send_transfers(region)
         ledger = self.ledger(region)
-        self.network += [Message(one.receiver, CreditTransfer(one)) for one in ledger.pending_transfers()]
         standing = RecordStanding(region, ledger.applied, ledger.standings())
         self.network += [Message(other, standing) for other in self.replicas if other != region]
 
@@ -269,6 +277,11 @@
         if isinstance(result, Credited):
             self.network.append(Message(result.transfer.giver, AcknowledgeTransfer(result.transfer)))
 
+    def deliver_all(self) -> None:
+        """Until nothing is on its way; the latest go first."""
+        while self.network:
+            self.deliver(-1)
+
     def whole(self) -> int:
         """The allowances of all regions, and what is on its way between them."""
         on_its_way = sum(
--- a/tests/test_maintenance_regions.py
+++ b/tests/test_maintenance_regions.py
@@ -45,6 +45,8 @@
 )
 AGREEMENTS = tuple(agreement.parse(text.encode()) for text in TEXTS)
 PICK = st.integers(0, 30)
+THROUGH = ("look after", "look late", "no look")  # a whole drain at once
+STEPS = ("begin", "bring_up", "release", "take_over", *THROUGH, "look after")
 
 
 class Regions(RuleBasedStateMachine):
@@ -106,16 +108,19 @@
         self.cluster.grant(agent.region, agent.lease, request, agent.converters)
 
     @precondition(lambda self: self.cluster.agents)
-    @rule(which=PICK, step=st.sampled_from(["begin", "bring_up", "release", "take_over", *["through"] * 4]))
+    @rule(which=PICK, step=st.sampled_from(STEPS))
     def agent(self, which: int, step: str) -> None:
         agents = [one for one in self.cluster.agents if not (one.void and which % 3)]
         if not agents:
             return
         agent = agents[-1 - which % len(agents)]
-        for name in ("begin", "bring_up", "release") if step == "through" else (step,):
+        if step == "look late":
+            self.cluster.look(agent.region)
+        for name in ("begin", "bring_up", "release") if step in THROUGH else (step,):
             getattr(self.cluster, name)(agent)
-        if step == "through":
+        if step == "look after":
             self.cluster.look(agent.region)
+        if step in ("look after", "look late"):
             self.cluster.report(-1)
 
     @rule(which=PICK, step=st.sampled_from(["lose", "return_cold", "warm"]))
@@ -142,14 +147,15 @@
     @precondition(lambda self: self.cluster.looks)
     @rule(which=PICK, keep=st.booleans())
     def report(self, which: int, keep: bool) -> None:
-        self.cluster.report(which % len(self.cluster.looks), keep=keep)
+        """Most often the oldest look that is on its way."""
+        self.cluster.report(max(0, which - 20) % len(self.cluster.looks), keep=keep)
 
     @rule(where=PICK, to=PICK, amount=st.integers(1, 4))
     def give(self, where: int, to: int, amount: int) -> None:
         giver = self.region(where)
         receiver = self.region(where + 1 + to % (len(self.cluster.replicas) - 1))
         self.cluster.debit(giver, receiver, amount * 500)
-        self.cluster.send(giver)
+        self.cluster.send_transfers(giver)
 
     @rule(where=PICK)
     def rebalance(self, where: int) -> None:
@@ -161,6 +167,11 @@
     def deliver(self, which: int, keep: bool) -> None:
         self.cluster.deliver(which % len(self.cluster.network), keep=keep)
 
+    @precondition(lambda self: self.cluster.network)
+    @rule()
+    def deliver_all(self) -> None:
+        self.cluster.deliver_all()
+
     @precondition(lambda self: self.cluster.network)
     @rule(which=PICK)
     def drop(self, which: int) -> None:
@@ -271,6 +282,25 @@
     cluster.hold("north", "r1", "n00", "n01")
 
 
+def late_look(cluster: Cluster) -> None:
+    cluster.look("north")
+    agent = cluster.hold("north", "r1", "n00", "n01")
+    assert agent
+    cluster.bring_up(agent)
+    cluster.release(agent)
+    cluster.report(0)
+    cluster.hold("north", "r2", "n02", "n10")
+    cluster.hold("south", "r3", "s00", "s01")
+
+
+def overdrawn(cluster: Cluster) -> None:
+    cluster.hold("north", "r1", "n00", "n01")
+    cluster.debit("north", "south", 1000)
+    cluster.send_transfers("north")
+    cluster.deliver_all()
+    cluster.hold("south", "r2", "s00", "s01", "s02")
+
+
 RUNS: dict[str, Callable[[Cluster], None]] = {
     "cold-counts": cold,
     "expiry-frees": expired,
@@ -278,6 +308,8 @@
     "borrow": cut,
     "forget-grant": forgotten,
     "ignore-loss": lost,
+    "stale-look": late_look,
+    "overdraw": overdrawn,
 }
 
 
@@ -341,15 +373,13 @@
     cluster = Cluster(small_agreement())
     cluster.submit("north", "r1", ("n00", "n01", "n02", "n10"), 4)
     cluster.send("north")
-    while cluster.network:
-        cluster.deliver(0)
+    cluster.deliver_all()
     cluster.rebalance("south")
     assert cluster.ledger("south").capacity("convert").allowance == 500
     cluster.rebalance("south")
     assert len(cluster.ledger("south").pending_transfers()) == 1, "no second one while the first is on its way"
     cluster.send("south")
-    while cluster.network:
-        cluster.deliver(0)
+    cluster.deliver_all()
     assert cluster.ledger("north").capacity("convert").allowance == 3500
     assert cluster.ledger("south").pending_transfers() == [] and cluster.whole() == 4000
     assert cluster.ledger("north").transfers_due() == []
@@ -374,8 +404,7 @@
     cluster.report(0)
     for region in ("north", "west"):
         cluster.send(region)
-    while cluster.network:
-        cluster.deliver(0)
+    cluster.deliver_all()
     assert cluster.ledger("north").transfers_due() == []
     due = [(one.receiver, one.amount) for one in cluster.ledger("south").transfers_due()]
     assert due == [("west", 1000), ("north", 500)]
