Let drawn runs move allowances and drains faster, so that all planted ledgers are found in seconds

Need: overdraw took 13 s to be found, and stale-look was not found in one trial of 400 drawn runs. Change: credits may arrive at once; agents that are done are picked less; up to 2,000 runs may be drawn for a planted one.

--- a/tests/maintenance_cluster.py
+++ b/tests/maintenance_cluster.py
@@ -62,6 +62,7 @@
     converters: tuple[str, ...]
     drained: bool = False
     brought_up: bool = False
+    released: bool = False
     void: bool = False  # its lease was called off or taken over: it must get nothing more
 
 
@@ -174,7 +175,8 @@
     def release(self, agent: Agent) -> None:
         if agent.brought_up or agent.void:
             result = self.apply(agent.region, ReleaseLease(agent.lease, agent.token))
-            assert not agent.void or isinstance(result, Refused), "a void token released a lease"
+            agent.released = not isinstance(result, Refused)
+            assert not (agent.void and agent.released), "a void token released a lease"
 
     def take_over(self, agent: Agent) -> None:
         result = self.apply(agent.region, TakeOverLease(agent.lease, f"agent-{len(self.agents)}", agent.token))
--- a/tests/test_maintenance_regions.py
+++ b/tests/test_maintenance_regions.py
@@ -46,7 +46,7 @@
 AGREEMENTS = tuple(agreement.parse(text.encode()) for text in TEXTS)
 PICK = st.integers(0, 30)
 THROUGH = ("look after", "look late", "no look")  # a whole drain at once
-STEPS = ("begin", "bring_up", "release", "take_over", *THROUGH, "look after")
+STEPS = ("begin", "bring_up", "release", "take_over", *THROUGH, *THROUGH)
 
 
 class Regions(RuleBasedStateMachine):
@@ -110,7 +110,7 @@
     @precondition(lambda self: self.cluster.agents)
     @rule(which=PICK, step=st.sampled_from(STEPS))
     def agent(self, which: int, step: str) -> None:
-        agents = [one for one in self.cluster.agents if not (one.void and which % 3)]
+        agents = [one for one in self.cluster.agents if not (which % 3 and (one.void or one.released))]
         if not agents:
             return
         agent = agents[-1 - which % len(agents)]
@@ -150,12 +150,14 @@
         """Most often the oldest look that is on its way."""
         self.cluster.report(max(0, which - 20) % len(self.cluster.looks), keep=keep)
 
-    @rule(where=PICK, to=PICK, amount=st.integers(1, 4))
-    def give(self, where: int, to: int, amount: int) -> None:
+    @rule(where=PICK, to=PICK, amount=st.integers(1, 4), now=st.booleans())
+    def give(self, where: int, to: int, amount: int, now: bool) -> None:
         giver = self.region(where)
         receiver = self.region(where + 1 + to % (len(self.cluster.replicas) - 1))
         self.cluster.debit(giver, receiver, amount * 500)
         self.cluster.send_transfers(giver)
+        if now and self.cluster.network:
+            self.cluster.deliver(-1)
 
     @rule(where=PICK)
     def rebalance(self, where: int) -> None:
@@ -223,7 +225,7 @@
 @pytest.mark.parametrize("name", PLANTED_LEDGERS)
 def test_drawn_runs_find_each_planted_mistake(name: str) -> None:
     machine = type("PlantedRegions", (Regions,), {"ledger_type": PLANTED_LEDGERS[name]})
-    few = settings(TestRegions.settings, max_examples=400, phases=[Phase.generate], report_multiple_bugs=False)
+    few = settings(TestRegions.settings, max_examples=2000, phases=[Phase.generate], report_multiple_bugs=False)
     with pytest.raises(AssertionError):
         run_state_machine_as_test(machine, settings=few)
 
