Document the configuration checker and the operators' settings in full

Need: conf/check.py was touched for the agreement's checks and was on the list of modules without docstrings. Measured: tests/test_conf.py and tests/test_conventions.py pass.

--- a/ryepier/conf/check.py
+++ b/ryepier/conf/check.py
@@ -35,6 +35,7 @@
     text: str
 
     def __str__(self) -> str:
+        """The problem as one line: where, which key, what."""
         place = f"line {self.line}: " if self.line else ""
         return f"{place}{self.key}: {self.text}" if self.key else f"{place}{self.text}"
 
@@ -43,6 +44,7 @@
     """A text that can't be used; `problems` holds all that is wrong with it, in the order of its lines."""
 
     def __init__(self, problems: list[Problem]) -> None:
+        """`problems` in any order; at least one."""
         self.problems = sorted(problems, key=lambda problem: problem.line)
         super().__init__("; ".join(map(str, self.problems)))
 
--- a/ryepier/conf/operators.py
+++ b/ryepier/conf/operators.py
@@ -57,6 +57,7 @@
     snapshots: str = ""  # the folder; empty: none are kept
 
     def __post_init__(self) -> None:
+        """Raises ValueError where the planner is its own peer."""
         if self.name in self.peers:
             raise ValueError(f"peers: {self.name!r} is this planner's own name")
 
@@ -82,6 +83,7 @@
     cache: str = ""  # a file; empty: the list is not written down
 
     def __post_init__(self) -> None:
+        """Raises ValueError where a certificate comes without its key."""
         if bool(self.client_cert_file) != bool(self.client_key_file):
             raise ValueError("client_cert_file: goes together with client_key_file")
 
@@ -108,6 +110,7 @@
     fields: list[GraphqlField] = msgspec.field(default_factory=list)
 
     def __post_init__(self) -> None:
+        """Raises ValueError where a class is missing or a field is named twice."""
         if self.enabled and not (self.queries and self.mutations):
             raise ValueError("queries, mutations: expected the classes of what the table does not name")
         names = [(one.type, one.name) for one in self.fields]
@@ -116,6 +119,7 @@
 
     @property
     def enabled(self) -> bool:
+        """Whether the front has a path or a listener."""
         return bool(self.path or self.listen)
 
 
