--- /dev/null
+++ b/tests/test_maintenance_agent.py
@@ -0,0 +1,157 @@
+"""The agent's steps in their order, under its token alone; what it leaves, resumes and never begins."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from ryepier.maintenance.agent import Agent, AgentSettings
+from ryepier.maintenance.api import LeaseStatus, StatusReply
+from ryepier.maintenance.client import CallError
+from ryepier.maintenance.commands import BeginDrain, Command, ReleaseLease
+from ryepier.maintenance.fleet import Action, FencingTokens, FleetCall, FleetError, FleetReply, SocketFleet
+from ryepier.maintenance.results import Begun, Granted, Refused, Released, Result
+
+from .net import free_port, until
+
+GRANTED = Granted("l1", "agent-1", 7, ("a",))
+STEPS = ["drain", "in-flight", "stop", "remove", "start", "list"]
+
+
+@dataclass
+class Coordinators:
+    """Stands for a region: grants once, and answers commands as told."""
+
+    leases: list[Granted] = field(default_factory=lambda: [GRANTED])
+    open: tuple[LeaseStatus, ...] = ()
+    answers: dict[type, list[Result | CallError]] = field(default_factory=dict)
+    commands: list[Command] = field(default_factory=list)
+    asked: list[str] = field(default_factory=list)
+    lost_answers: int = 0
+
+    async def status(self, within_s: float) -> StatusReply:
+        return StatusReply(1, "north", "north-0", 1, 1, 0, (), self.open, ())
+
+    async def take_lease(self, lease: str, within_s: float) -> Result | None:
+        self.asked.append(lease)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise CallError("no answer")
+        return self.leases.pop() if self.leases else None
+
+    async def command(self, command: Command, within_s: float) -> Result:
+        self.commands.append(command)
+        told = self.answers.get(type(command))
+        if told:
+            answer = told.pop(0)
+            if isinstance(answer, CallError):
+                raise answer
+            return answer
+        return Begun("l1") if isinstance(command, BeginDrain) else Released("l1", ("a",))
+
+
+@dataclass
+class Converters:
+    """Stands for the far end: notes the steps, and refuses one if told."""
+
+    refuse: str = ""
+    busy: int = 0
+    steps: list[tuple[str, str, int, str]] = field(default_factory=list)
+    drained_s: float = 0.0
+    stopped_s: float = 0.0
+
+    async def do(self, action: Action, converter: str, token: int, uid: str = "") -> FleetReply:
+        now_s = asyncio.get_running_loop().time()
+        if action == self.refuse:
+            raise FleetError("token 7 for a is old; 8 was seen")
+        self.steps.append((action, converter, token, uid))
+        if action == "drain":
+            self.drained_s = now_s
+        if action == "stop":
+            self.stopped_s = now_s
+        if action == "in-flight" and self.busy:
+            self.busy -= 1
+            return FleetReply(in_flight=1)
+        return FleetReply(uid="a.1" if action == "start" else "")
+
+    def actions(self) -> list[str]:
+        return [step[0] for step in self.steps]
+
+
+def play(region: Coordinators, fleet: Converters, ended: Callable[[], bool]) -> None:
+    async def test() -> None:
+        settings = AgentSettings("agent-1", drain_grace_s=0.3, work_s=0.0)
+        agent = asyncio.create_task(Agent(settings, region, fleet).run())  # type: ignore[arg-type]
+        try:
+            await until(ended)
+        finally:
+            agent.cancel()
+
+    asyncio.run(test())
+
+
+def released(region: Coordinators) -> Callable[[], bool]:
+    return lambda: any(isinstance(one, ReleaseLease) for one in region.commands)
+
+
+def test_a_window_goes_step_by_step_under_its_token() -> None:
+    region, fleet = Coordinators(), Converters(busy=2)
+    play(region, fleet, released(region))
+    assert fleet.actions() == ["drain", *["in-flight"] * 3, "stop", "remove", "start", "list"]
+    assert {step[1:3] for step in fleet.steps} == {("a", 7)} and fleet.steps[-1][3] == "a.1"
+    assert fleet.stopped_s - fleet.drained_s >= 0.3
+    assert region.commands == [BeginDrain("l1", 7), ReleaseLease("l1", 7)]
+
+
+def test_nothing_is_drained_before_the_beginning_is_committed() -> None:
+    region, fleet = Coordinators(answers={BeginDrain: [CallError("no answer")]}), Converters()
+    play(region, fleet, released(region))
+    assert region.commands[:2] == [BeginDrain("l1", 7)] * 2 and fleet.actions() == STEPS
+
+
+def test_a_lease_that_was_called_off_is_left() -> None:
+    region, fleet = Coordinators(answers={BeginDrain: [Refused("lease 'l1' is called-off")]}), Converters()
+    play(region, fleet, lambda: len(region.asked) >= 3)
+    assert fleet.steps == [] and region.commands == [BeginDrain("l1", 7)]
+
+
+@pytest.mark.parametrize("refused", ["drain", "stop", "start"])
+def test_a_step_that_is_refused_ends_the_window_without_a_report(refused: str) -> None:
+    region, fleet = Coordinators(), Converters(refuse=refused)
+    play(region, fleet, lambda: len(region.asked) >= 5)
+    assert refused not in fleet.actions() and region.commands == [BeginDrain("l1", 7)]
+
+
+def test_a_lease_whose_answer_was_lost_is_asked_for_under_the_same_name() -> None:
+    region, fleet = Coordinators(lost_answers=2), Converters()
+    play(region, fleet, released(region))
+    assert len(set(region.asked[:3])) == 1 and region.asked[3:4] != region.asked[:1]
+
+
+def test_an_agent_that_starts_again_goes_on_with_its_own_leases_alone() -> None:
+    def lease(name: str, agent: str, state: str) -> LeaseStatus:
+        return LeaseStatus(name, "r1", agent, 9, state, (name,), (name,))
+
+    left = (lease("b", "agent-1", "draining"), lease("c", "agent-2", "draining"), lease("d", "agent-1", "returning"))
+    region, fleet = Coordinators(leases=[], open=left), Converters()
+    play(region, fleet, released(region))
+    assert region.commands == [BeginDrain("b", 9), ReleaseLease("b", 9)]
+    assert {step[1:3] for step in fleet.steps} == {("b", 9)}
+
+
+def test_an_old_token_is_refused_and_the_same_or_a_newer_one_is_not() -> None:
+    tokens = FencingTokens()
+    assert tokens.refusal(FleetCall("drain", "a", 5)) == ""
+    assert tokens.refusal(FleetCall("stop", "a", 5)) == ""
+    assert tokens.refusal(FleetCall("drain", "b", 1)) == ""
+    assert tokens.refusal(FleetCall("stop", "a", 6)) == ""
+    assert tokens.refusal(FleetCall("start", "a", 5)) == "token 5 for a is old; 6 was seen"
+
+
+def test_a_step_whose_far_end_is_away_says_so() -> None:
+    address = ("127.0.0.1", free_port())
+    with pytest.raises(FleetError, match="stop a: ConnectionRefusedError"):
+        asyncio.run(SocketFleet(address, address).do("stop", "a", 1))
--- /dev/null
+++ b/tests/test_maintenance_node.py
@@ -0,0 +1,138 @@
+"""A replica with its disk and ledger: nothing is said or applied before it is stored; whoever waits is told truly."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+
+from ryepier.maintenance.commands import AdvanceTime
+from ryepier.maintenance.ledger import Ledger
+from ryepier.maintenance.node import DeposedError, FatalError, Node, open_disk
+from ryepier.maintenance.replication import storage
+from ryepier.maintenance.replication.core import DurableState, NotLeaderError, Ready, Replica, ReplicaSettings
+from ryepier.maintenance.replication.messages import (
+    AppendEntries,
+    AppendResponse,
+    Entry,
+    HardState,
+    Message,
+    VoteResponse,
+)
+from ryepier.maintenance.replication.planted import ForgetVoteStorage
+from ryepier.maintenance.results import Advanced, Result
+
+from .maintenance_world import small_agreement
+
+MEMBERS = ("north-0", "north-1", "north-2")
+IDENTITY = storage.Identity("north", "north-0", MEMBERS)
+
+
+@dataclass
+class Disk:
+    """Notes what is stored, or fails."""
+
+    saved: list[Ready] = field(default_factory=list)
+    full: bool = False
+
+    def save(self, ready: Ready) -> None:
+        if self.full:
+            raise OSError(28, "No space left on device")
+        if ready.must_store:
+            self.saved.append(ready)
+
+    def close(self) -> None:
+        pass
+
+
+@dataclass
+class Made:
+    """A node and what it did."""
+
+    node: Node
+    disk: Disk
+    sent: list[Message]
+
+
+def make(state: DurableState | None = None) -> Made:
+    sent: list[Message] = []
+    disk = Disk()
+    replica = Replica(ReplicaSettings("north-0", MEMBERS, 1), state or DurableState())
+    node = Node(replica, disk, Ledger(small_agreement(), "north"), lambda peer, message: sent.append(message))
+    return Made(node, disk, sent)
+
+
+def leading() -> Made:
+    made = make()
+    while made.node.replica.term == 0:
+        made.node.tick()
+    made.node.receive("north-1", VoteResponse(1, True))
+    made.node.receive("north-1", AppendResponse(1, True, 1))
+    return made
+
+
+def test_a_command_is_answered_once_a_majority_has_it() -> None:
+    async def test() -> Result:
+        made = leading()
+        answer = asyncio.create_task(made.node.propose(AdvanceTime(500)))
+        await asyncio.sleep(0)
+        assert made.disk.saved[-1].entries[-1].command and not answer.done() and made.node.ledger.now_ms == 0
+        made.node.receive("north-2", AppendResponse(1, True, 2))
+        return await answer
+
+    assert asyncio.run(test()) == Advanced(500)
+
+
+def test_who_waits_at_a_deposed_leader_is_told_that_it_is_uncertain() -> None:
+    async def test() -> None:
+        made = leading()
+        answer = asyncio.create_task(made.node.propose(AdvanceTime(500)))
+        await asyncio.sleep(0)
+        made.node.receive("north-2", AppendEntries(2, 1, 1, (Entry(2, b""),), 2))
+        with pytest.raises(DeposedError):
+            await answer
+        with pytest.raises(NotLeaderError):
+            await made.node.propose(AdvanceTime(600))
+        assert made.node.ledger.now_ms == 0
+
+    asyncio.run(test())
+
+
+def test_a_disk_that_fails_ends_the_replica_before_anything_is_said() -> None:
+    made = make(DurableState(HardState(1)))
+    made.disk.full = True
+    with pytest.raises(FatalError, match="No space left"):
+        made.node.receive("north-1", AppendEntries(1, 0, 0, (Entry(1, b""),), 0))
+    made.disk.full = False
+    with pytest.raises(FatalError, match="has failed before"):
+        made.node.tick()
+    assert made.sent == []
+
+
+def test_a_log_of_a_version_that_knows_more_commands_ends_the_replica() -> None:
+    made = make(DurableState(HardState(1)))
+    with pytest.raises(FatalError, match="unreadable command"):
+        made.node.receive("north-1", AppendEntries(1, 0, 0, (Entry(1, b"\x81\xa4type\xa3new"),), 1))
+
+
+def test_an_empty_disk_stays_empty_until_there_is_something_to_keep(tmp_path: Path) -> None:
+    disk = open_disk(tmp_path / "a", IDENTITY, bootstrap=False)
+    assert disk.state is None
+    disk.storage.save(Ready(None, 0, (), (), ()))
+    assert not storage.exists(tmp_path / "a")
+    disk.storage.save(Ready(HardState(5, "", 5), 0, (), (), ()))
+    disk.storage.close()
+    again = open_disk(tmp_path / "a", IDENTITY, bootstrap=False)
+    assert again.state == DurableState(HardState(5, "", 5))
+    again.storage.close()
+
+
+def test_the_planted_storage_forgets_the_vote(tmp_path: Path) -> None:
+    disk = open_disk(tmp_path, IDENTITY, bootstrap=True, file_type=ForgetVoteStorage)
+    disk.storage.save(Ready(HardState(5, "north-1"), 1, (Entry(5, b"kept"),), (), ()))
+    disk.storage.close()
+    again = open_disk(tmp_path, IDENTITY, bootstrap=False)
+    assert again.state == DurableState(HardState(), (Entry(5, b"kept"),))
+    again.storage.close()
