--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -27,6 +27,7 @@
 )
 from ryepier.experiments.contract import Claim, Experiment, Measured, Run, Scale
 from ryepier.experiments.load_spread import processes as load_spread_processes
+from ryepier.experiments.maintenance import cut, kill, overlap
 from ryepier.experiments.worlds import load
 
 FULL_FLEET = 3  # `full` has so many times the converters, sidecars and traffic of `small`
@@ -332,5 +333,8 @@
         *simulation.EXPERIMENTS,
         *scale_list.EXPERIMENTS,
         *scale_fail.EXPERIMENTS,
+        overlap.EXPERIMENT,
+        kill.EXPERIMENT,
+        cut.EXPERIMENT,
     )
 }
