--- /dev/null
+++ b/tests/test_graphql_resets.py
@@ -0,0 +1,78 @@
+"""The claims of `graphql-resets` on resets: they hold by the sidecar, and fail where it sends too little again."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from ryepier.balancer import balancer
+from ryepier.balancer.balancer import Balancer, Request
+from ryepier.balancer.interface import Outcome
+from ryepier.emulator import simulated
+from ryepier.experiments import graphql_front
+from ryepier.experiments.contract import Run
+from ryepier.experiments.graphql_front import LEAST_SENT_AGAIN, QueryResets, binomial_quantile, query_resets
+from ryepier.experiments.worlds import load
+
+SHORT_S = 4.0
+SKIPPED = 10  # one query in so many is not sent again by the sidecar that forgets some
+
+
+def played() -> QueryResets:
+    """A short simulated play, with what it shows of resets."""
+    world = msgspec.structs.replace(load("graphql-resets"), duration_s=SHORT_S)
+    return query_resets(Run(world, 1, simulated.play(world, 1), [], [], Path()))
+
+
+def claims_hold(resets: QueryResets) -> bool:
+    return resets.share_sent_again >= LEAST_SENT_AGAIN and resets.share_served >= resets.least_served
+
+
+def test_the_sidecar_sends_queries_again_as_far_as_its_budget_goes() -> None:
+    resets = played()
+    assert resets.with_retry >= 100
+    assert claims_hold(resets)
+
+
+def test_a_sidecar_that_sends_no_reset_query_again_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(balancer, "REISSUED", tuple(one for one in balancer.REISSUED if one is not Outcome.RESET))
+    assert played().share_sent_again == 0
+
+
+def test_a_sidecar_that_sends_only_some_reset_queries_again_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    may_send = Balancer.may_send
+
+    def may_send_most(self: Balancer, request: Request) -> bool:
+        return may_send(self, request) and not (request.attempts and request.event.request % SKIPPED == 0)
+
+    monkeypatch.setattr(Balancer, "may_send", may_send_most)
+    assert not claims_hold(played())
+
+
+def test_a_sidecar_whose_budget_of_retries_is_smaller_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(balancer, "RETRY_BUDGET_RATIO", graphql_front.BUDGET_RATIO / 2)
+    assert not claims_hold(played())
+
+
+def test_answers_that_are_lost_after_a_second_attempt_are_found() -> None:
+    well = QueryResets(attempts=1000, resets=200, with_retry=200, sent_again=200, queries_again=200, queries_served=190)
+    assert claims_hold(well)
+    assert not claims_hold(dataclasses.replace(well, queries_served=180))
+
+
+@pytest.mark.parametrize(
+    ("trials", "chance", "level", "quantile"),
+    [
+        (10, 0.5, 0.0009, 0),
+        (10, 0.5, 0.001, 1),
+        (10, 0.5, 0.5, 5),
+        (700, 0.8, 0.001, 526),
+        (5, 1.0, 0.1, 5),
+        (5, 0.0, 0.9, 0),
+    ],
+)
+def test_a_quantile_of_the_binomial_distribution(trials: int, chance: float, level: float, quantile: int) -> None:
+    assert binomial_quantile(trials, chance, level) == quantile
