Send a client's request only after its time limit on connecting

Symptom: a play whose processes were held up (SIGSTOP of a sidecar for 0.5 s on a machine under load 20) had two breaches of run-twice: the clients called 8 requests unreachable and sent them again, but converters had run two of them from the first try. Cause: the clients' limit lay over connecting and the first write together. Where it ran out in the loop's turn in which the connection was made, the request was written and then called unreachable, which promises that nobody had it. Change: the limit ends with the connection; only then is the request written. Result: tests/test_clients.py holds the process up at that moment every time; without the change it fails with 'unreachable' for a request that was sent.

--- a/ryepier/emulator/clients.py
+++ b/ryepier/emulator/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 import zlib
 from collections import Counter
 
@@ -15,6 +16,7 @@
 from ryepier.emulator.records import NEVER, Ending, RoleRecords, Try
 from ryepier.emulator.timeline import Timeline
 from ryepier.emulator.world import RequestClass, World
+from ryepier.sidecar import system
 
 SLACK_US = 100_000  # a client goes on reading for so long past its time, so that a late answer is seen as one
 SUMMARY_S = 0.5
@@ -189,12 +191,18 @@
         self.host.spawn(self.dial())
 
     async def dial(self) -> None:
+        """Connect and send, or end as unreachable."""
+        loop = asyncio.get_running_loop()
+        sock = system.tcp_socket(socket.AF_INET)
         try:
-            async with asyncio.timeout(self.item.deadline_us / 1e6):  # a client waits no longer for that than for all
-                await asyncio.get_running_loop().create_connection(
-                    lambda: Line(self.target, self), *self.target.address
-                )
+            sock.setblocking(False)
+            # a client waits no longer for that than for all. Hazard: a limit on more than this, run out in the turn in
+            # which the request is sent, would call what a sidecar has got unreachable, and it would be sent again
+            async with asyncio.timeout(self.item.deadline_us / 1e6):
+                await loop.sock_connect(sock, self.target.address)
+            await loop.create_connection(lambda: Line(self.target, self), sock=sock)
         except OSError:  # TimeoutError is one
+            sock.close()
             self.end("unreachable")
 
     def send(self, line: Line) -> None:
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,70 @@
+"""The stand-in clients over real sockets, where their own process is held up."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from typing import Any
+
+import msgspec
+import pytest
+
+from ryepier.emulator import clients, timeline
+from ryepier.emulator.process import Clock, Plan, monotonic_us
+from ryepier.emulator.records import NEVER, Try
+from ryepier.experiments.worlds import load
+from tests.net import OK, Upstream, answering, run, until
+
+DEADLINE_S = 0.2
+
+
+def a_client(address: tuple[str, int]) -> clients.Host:
+    """A client process of a small world, whose requests all go to this address."""
+    world = msgspec.structs.replace(load("graphql-resets"), duration_s=1.0, faults=[])
+    plan = Plan(world, 1, 0, "clients", targets=[address])
+    clock = Clock()
+    clock.zero_us = monotonic_us()
+    return clients.Host(plan, clock, timeline.build(world, 1))
+
+
+def a_try(sent_us: int = NEVER) -> Try:
+    """A first request of the class that must not run twice."""
+    return Try(0, 0, "0001-000000-0", "", 1, 0, 0, 1000, 0, sent_us, int(DEADLINE_S * 1e6), NEVER, "timeout")
+
+
+def test_a_request_that_was_sent_is_not_called_unreachable_though_its_time_ran_out_as_it_connected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connect = asyncio.SelectorEventLoop.sock_connect
+
+    async def held_up(loop: asyncio.SelectorEventLoop, sock: socket.socket, address: Any) -> None:
+        await connect(loop, sock, address)
+        time.sleep(DEADLINE_S + 0.1)  # the whole process is held up: its next turn has the time-out, too
+
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        await upstream.start()
+        host = a_client(("127.0.0.1", upstream.port))
+        monkeypatch.setattr(asyncio.SelectorEventLoop, "sock_connect", held_up)
+        item = a_try()
+        host.send(item)
+        await until(lambda: item.ended_us != NEVER)
+        await asyncio.sleep(0.1)  # what was written has come
+        assert len(upstream.requests) == 1 and item.ending == "served"
+        upstream.stop()
+
+    run(test)
+
+
+def test_where_nobody_listens_a_request_is_unreachable() -> None:
+    async def test() -> None:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))  # and does not listen
+            host = a_client(sock.getsockname())
+            item = a_try()
+            host.send(item)
+            await until(lambda: item.ended_us != NEVER)
+        assert item.ending == "unreachable"
+
+    run(test)
