--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -60,8 +60,8 @@
         loop = asyncio.get_running_loop()
         connect = loop.create_connection
 
-        async def connect_and_linger(*arguments: Any) -> Any:
-            made = await connect(*arguments)
+        async def connect_and_linger(*arguments: Any, **options: Any) -> Any:
+            made = await connect(*arguments, **options)
             await asyncio.sleep(1.0)
             return made
 
