--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -6,6 +6,7 @@
 from ryepier.experiments.faults import experiments as faults
 from ryepier.experiments.graphql import graphql_front
 from ryepier.experiments.load_spread import processes as load_spread_processes
+from ryepier.experiments.maintenance import cut, kill, overlap
 from ryepier.experiments.planners import planner_reconnect, planner_scale, planning
 from ryepier.experiments.scale import scale_call, scale_control, scale_depth, scale_fail, scale_list
 from ryepier.experiments.simulation import fidelity
@@ -36,5 +37,8 @@
         *fidelity.EXPERIMENTS,
         *scale_list.EXPERIMENTS,
         *scale_fail.EXPERIMENTS,
+        overlap.EXPERIMENT,
+        kill.EXPERIMENT,
+        cut.EXPERIMENT,
     )
 }
