Tell what the machine held up from what a sidecar left unanswered

On overloaded cores the same comes without any signal. The judge laid all of it to the sidecar. Change: processes note when they were held up for 50 ms or more: the emulator's by their own ticks, the rig for sidecars by the time they waited for a core (/proc/PID/schedstat). A request with no answer in time is then a breach of the rule held-up, which fails a run as unanswered does, and says that the run shows nothing of the sidecar. Nothing passes that failed before; breaking-point counts both rules. Result: tests/test_judge.py and tests/test_clients.py, failing without it.

--- a/ryepier/emulator/process.py
+++ b/ryepier/emulator/process.py
@@ -15,6 +15,7 @@
 
 LONGEST_LATE_US = 60_000_000
 TICK_S = 0.02
+HELD_US = 50_000  # a process that is late by so much was held up: every time limit has as much slack
 CONVERTER_PORT = 9000
 DISCOVERY_PORT = 8500
 SIDECAR_PORT = 9000
@@ -78,6 +79,7 @@
         self.clock = clock
         self.histogram = HdrHistogram(1, LONGEST_LATE_US, 3)
         self.most_by_second_us: list[int] = []
+        self.held: list[tuple[int, int]] = []
 
     def note(self, planned_us: int) -> None:
         late_us = max(1, self.clock.now_us() - planned_us)
@@ -92,6 +94,8 @@
             planned_us = self.clock.now_us() + int(TICK_S * 1e6)
             await asyncio.sleep(TICK_S)
             self.note(planned_us)
+            if self.clock.now_us() - planned_us >= HELD_US:
+                self.held.append((planned_us, self.clock.now_us()))
 
     def result(self, role: str) -> Lateness:
         at = self.histogram.get_value_at_percentile
@@ -102,6 +106,7 @@
             int(at(99.9)),
             max(self.most_by_second_us, default=0),
             self.most_by_second_us,
+            self.held,
         )
 
 
--- a/ryepier/emulator/records.py
+++ b/ryepier/emulator/records.py
@@ -77,6 +77,7 @@
     crashed: bool = False  # it ended by itself, or badly
     samples: list[tuple[int, int, int]] = []  # (at_us, CPU microseconds so far, resident KiB)
     stalls: list[tuple[int, int]] = []  # from when to when it stood still
+    held: list[tuple[int, int]] = []  # from when to when it was ready to run and the machine gave it no core
 
     def go_on(self, at_us: int) -> None:
         """Whatever made it stand still is over, or its life is."""
@@ -91,6 +92,7 @@
             ended_us=self.ended_us - zero_us,
             samples=[(at_us - zero_us, cpu_us, kib) for at_us, cpu_us, kib in self.samples],
             stalls=[(begun_us - zero_us, ended_us - zero_us) for begun_us, ended_us in self.stalls],
+            held=[(begun_us - zero_us, ended_us - zero_us) for begun_us, ended_us in self.held],
         )
 
     def stalled(self, begin_us: int, end_us: int) -> bool:
@@ -114,6 +116,7 @@
     p999_us: int
     most_us: int
     most_by_second_us: list[int] = []
+    held: list[tuple[int, int]] = []  # from when to when its event loop should have turned and did not
 
 
 class RoleRecords(msgspec.Struct):
--- a/ryepier/emulator/rig.py
+++ b/ryepier/emulator/rig.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from ryepier.emulator import files, timeline
-from ryepier.emulator.process import CONVERTER_PORT, Clock, Plan, monotonic_us
+from ryepier.emulator.process import CONVERTER_PORT, HELD_US, Clock, Plan, monotonic_us
 from ryepier.emulator.records import NEVER, Happening, History, Life, RoleRecords, join
 from ryepier.emulator.timeline import Step, Timeline, Verb, Who
 from ryepier.emulator.world import SIMULATED_FAULTS, World
@@ -32,6 +32,8 @@
 UP_WITHIN_S = 20.0
 BEGIN_AFTER_S = 0.5  # all processes hear of the beginning well before it
 SAMPLE_S = 0.5
+HELD_SAMPLE_S = 0.05
+MOST_WATCHED = 20  # sidecars; with more the rig would be busy with reading how long they waited for a core
 STOP_WITHIN_S = 6.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_KIB = os.sysconf("SC_PAGE_SIZE") // 1024
@@ -143,10 +145,11 @@
             async with asyncio.TaskGroup() as group:
                 for role in self.roles:
                     group.create_task(self.read(role))
-                sampling = group.create_task(self.sample())
+                watching = [group.create_task(self.sample()), group.create_task(self.watch_held())]
                 group.create_task(self.steps())
                 await asyncio.gather(*(role.process.wait() for role in self.roles))
-                sampling.cancel()
+                for task in watching:
+                    task.cancel()
             await self.stop_sidecars()
         finally:
             await self.kill_all()
@@ -258,6 +261,20 @@
             for sidecar in self.sidecars:
                 self.take_sample(sidecar)
 
+    async def watch_held(self) -> None:
+        """Note when the machine kept a sidecar from running."""
+        last: dict[int, int] = {}  # by process id
+        while len(self.sidecars) <= MOST_WATCHED:
+            for sidecar in self.sidecars:
+                if sidecar.process is None:
+                    continue
+                pid = sidecar.process.pid
+                waited_us = waited_for_core_us(pid)
+                if waited_us is not None:
+                    note_held(sidecar.lives[-1], waited_us - last.get(pid, waited_us), monotonic_us())
+                    last[pid] = waited_us
+            await asyncio.sleep(HELD_SAMPLE_S)
+
     def take_sample(self, sidecar: Sidecar) -> None:
         process = sidecar.process
         if process is None:
@@ -356,6 +373,21 @@
         return life.moved(self.clock.zero_us)
 
 
+def waited_for_core_us(pid: int) -> int | None:
+    """For how long a process has been ready to run and had no core; None if it has ended, or the system does not
+    count it."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) // 1000
+    except (OSError, IndexError):
+        return None
+
+
+def note_held(life: Life, waited_us: int, now_us: int) -> None:
+    """Keep a span in which a sidecar waited for a core for so long that its answers may be late for it."""
+    if waited_us >= HELD_US:
+        life.held.append((now_us - waited_us, now_us))
+
+
 def play(world: World, seed: int, folder: Path, cast: Cast | None = None, watcher: Watcher | None = None) -> History:
     """Play a world once and return what all sides saw. Raises RigError where the emulator failed."""
     return asyncio.run(Rig(world, seed, folder, cast, watcher).play())
--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -211,7 +211,11 @@
         Claim("CPU a request up to there (us)", cpu_us_a_request(run, 1.0, until_s), "<=", 450),
         Claim(
             "breaches of answers in time before it",
-            sum(breach.at_us < until_s * 1e6 for breach in run.breaches if breach.rule in ("unanswered", "broken")),
+            sum(
+                breach.at_us < until_s * 1e6
+                for breach in run.breaches
+                if breach.rule in ("unanswered", "held-up", "broken")
+            ),
             "==",
             0,
         ),
--- a/ryepier/experiments/judge.py
+++ b/ryepier/experiments/judge.py
@@ -18,6 +18,7 @@
 
 RULES = {
     "unanswered": "no final answer before the client's time was out",
+    "held-up": "the same, but the machine held up the client or the sidecar meanwhile: the run says nothing of it",
     "broken": "a connection ended by the sidecar without a whole answer",
     "second-answer": "bytes after the one final answer",
     "forged": "served with something that no converter made for it",
@@ -99,6 +100,14 @@
             for life in lives
         )
 
+    def held_up(self, item: Try) -> bool:
+        """Whether its client's process or its sidecar's was kept from running before its time was out."""
+        client = f"clients {item.first % self.world.rig.client_processes}"
+        held = [span for late in self.history.lateness if late.role == client for span in late.held]
+        held += [span for life in self.lives[item.sidecar] for span in life.held]
+        due_us = item.sent_us + item.deadline_us
+        return any(begun_us < due_us + SLACK_US and ended_us > item.sent_us for begun_us, ended_us in held)
+
     # Answers
 
     def answer(self, item: Try) -> None:
@@ -106,7 +115,8 @@
             return  # what a killed sidecar held is for its client to repeat, and one that stands still has no clock
         due_us = item.sent_us + item.deadline_us + SLACK_US
         if item.ending == "timeout" or (item.ending in ("served", "refused", "failed") and item.ended_us > due_us):
-            self.breach("unanswered", due_us, f"{item.ident} by sidecar {item.sidecar}")
+            rule = "held-up" if self.held_up(item) else "unanswered"
+            self.breach(rule, due_us, f"{item.ident} by sidecar {item.sidecar}")
         elif item.ending == "broken" and not (item.crossed and item.ident not in self.attempts):
             self.breach("broken", item.ended_us, f"{item.ident} by sidecar {item.sidecar}")
         if item.extra_bytes:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
+import subprocess
 import time
 from typing import Any
 
@@ -11,8 +13,9 @@
 import pytest
 
 from ryepier.emulator import clients, timeline
-from ryepier.emulator.process import Clock, Plan, monotonic_us
-from ryepier.emulator.records import NEVER, Try
+from ryepier.emulator.process import HELD_US, Clock, LatenessMeter, Plan, monotonic_us
+from ryepier.emulator.records import NEVER, Life, Try
+from ryepier.emulator.rig import note_held, waited_for_core_us
 from ryepier.experiments.worlds import load
 from tests.net import OK, Upstream, answering, run, until
 
@@ -68,3 +71,34 @@
         assert item.ending == "unreachable"
 
     run(test)
+
+
+def test_a_process_notes_when_it_was_held_up() -> None:
+    async def test() -> None:
+        clock = Clock()
+        clock.zero_us = monotonic_us()
+        meter = LatenessMeter(clock)
+        ticking = asyncio.create_task(meter.tick())
+        await asyncio.sleep(0)
+        time.sleep(0.3)
+        await asyncio.sleep(0.05)
+        ticking.cancel()
+        begun_us, ended_us = meter.result("clients 0").held[0]
+        assert begun_us < 50_000 and ended_us > 290_000
+
+    run(test)
+
+
+def test_the_rig_notes_when_a_sidecar_waited_for_a_core_for_long() -> None:
+    life = Life(0, 0, 0)
+    note_held(life, HELD_US - 1, 1_000_000)
+    assert life.held == []
+    note_held(life, 2 * HELD_US, 2_000_000)
+    assert life.held == [(2_000_000 - 2 * HELD_US, 2_000_000)]
+
+
+def test_a_process_that_has_ended_waits_for_nothing() -> None:
+    with subprocess.Popen(["true"]) as process:
+        process.wait()
+    assert waited_for_core_us(process.pid) is None
+    assert (waited_for_core_us(os.getpid()) or 0) >= 0
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ryepier.emulator.records import Attempt, History, Life, Told, Try
+from ryepier.emulator.records import Attempt, History, Lateness, Life, Told, Try
 from ryepier.emulator.world import Clients, Converters, RequestClass, Sidecars, World
 from ryepier.experiments import figures
 from ryepier.experiments.judge import RULES, judge
@@ -116,6 +116,10 @@
     return History(tries=tries, attempts=attempts, **(values | more))
 
 
+def a_lateness(role: str, held: tuple[int, int]) -> Lateness:
+    return Lateness(role, 1000, 100, 1000, held[1] - held[0], held=[held])
+
+
 def breached(history: History) -> set[str]:
     return {breach.rule for breach in judge(WORLD, history)}
 
@@ -178,6 +182,34 @@
 
 BAD: dict[str, tuple[set[str], Callable[[], History]]] = {
     "never answered": ({"unanswered"}, lambda: a_history([a_try(ending="timeout", ended_ms=1100)], [])),
+    "never answered, its sidecar without a core": (
+        {"held-up"},
+        lambda: a_history(
+            [a_try(ending="timeout", ended_ms=1100)],
+            [],
+            lives=[Life(0, -500 * MS, -400 * MS, held=[(600 * MS, 1200 * MS)])],
+        ),
+    ),
+    "answered in time, but its client held up": (
+        {"held-up"},
+        lambda: a_history(
+            [a_try(ended_ms=2000)], [an_attempt()], lateness=[a_lateness("clients 0", (40 * MS, 2000 * MS))]
+        ),
+    ),
+    "never answered, another client held up": (
+        {"unanswered"},
+        lambda: a_history(
+            [a_try(ending="timeout", ended_ms=1100)], [], lateness=[a_lateness("clients 1", (40 * MS, 1080 * MS))]
+        ),
+    ),
+    "never answered, its sidecar held up only later": (
+        {"unanswered"},
+        lambda: a_history(
+            [a_try(ending="timeout", ended_ms=1100)],
+            [],
+            lives=[Life(0, -500 * MS, -400 * MS, held=[(1050 * MS, 1200 * MS)])],
+        ),
+    ),
     "answered too late": ({"unanswered"}, lambda: a_history([a_try(ended_ms=1060)], [an_attempt(ended_ms=1059)])),
     "the connection ended": ({"broken"}, lambda: a_history([a_try(ending="broken")], [an_attempt()])),
     "never answered, long after its sidecar stood still": (
