--- a/ryepier/experiments/maintenance/outcome.py
+++ b/ryepier/experiments/maintenance/outcome.py
@@ -18,7 +18,18 @@
 from ryepier.maintenance.agreement import Agreement
 from ryepier.maintenance.judge import FULL, Change, breaches
 
-RULES = ("unanswered", "broken", "second-answer", "run-twice", "unsafe-resend", "together", "drain", "cold", "crash")
+RULES = (
+    "unanswered",
+    "held-up",
+    "broken",
+    "second-answer",
+    "run-twice",
+    "unsafe-resend",
+    "together",
+    "drain",
+    "cold",
+    "crash",
+)
 FOREVER_US = 10**18
 LEADS = "leader in term "
 
