Give a coordinator's sockets, the leader's jobs and the region's time a module each

Need: the coordinator's module had four jobs in 430 lines. Measured: the tests of processes, node, agent and log pass.

--- a/ryepier/commands/maintenance.py
+++ b/ryepier/commands/maintenance.py
@@ -22,11 +22,12 @@
 from ryepier.maintenance.api import StatusReply
 from ryepier.maintenance.client import CallError, RegionClient
 from ryepier.maintenance.commands import CancelRequest, Command, Priority, Request, SubmitRequest
-from ryepier.maintenance.coordinator import Coordinator, CoordinatorSettings, addresses_of
+from ryepier.maintenance.coordinator import Coordinator
 from ryepier.maintenance.node import FatalError
 from ryepier.maintenance.placement import FREEZE_MS
 from ryepier.maintenance.replication.storage import StorageError
 from ryepier.maintenance.results import Refused
+from ryepier.maintenance.settings import CoordinatorSettings, addresses_of
 from ryepier.maintenance.transport import parse_address
 
 CALL_WITHIN_S = 10.0
--- a/ryepier/experiments/maintenance/agent_process.py
+++ b/ryepier/experiments/maintenance/agent_process.py
@@ -13,8 +13,8 @@
 from ryepier.maintenance import agreement as agreements
 from ryepier.maintenance.agent import Agent, AgentSettings
 from ryepier.maintenance.client import RegionClient
-from ryepier.maintenance.coordinator import addresses_of
 from ryepier.maintenance.fleet import SocketFleet
+from ryepier.maintenance.settings import addresses_of
 
 LOG_LINES_PER_S = 200
 
--- a/ryepier/experiments/maintenance/fleet_rig.py
+++ b/ryepier/experiments/maintenance/fleet_rig.py
@@ -31,8 +31,8 @@
 from ryepier.maintenance.api import StatusReply
 from ryepier.maintenance.client import CallError, RegionClient
 from ryepier.maintenance.commands import Priority, Request, SubmitRequest
-from ryepier.maintenance.coordinator import addresses_of
 from ryepier.maintenance.results import Result
+from ryepier.maintenance.settings import addresses_of
 from ryepier.maintenance.transport import parse_address
 
 ROLE_MODULE = "ryepier.experiments.maintenance.fleet_process"
--- a/ryepier/experiments/maintenance/planted_coordinator.py
+++ b/ryepier/experiments/maintenance/planted_coordinator.py
@@ -10,9 +10,9 @@
 import sys
 
 from ryepier.maintenance import coordinator
-from ryepier.maintenance.coordinator import CoordinatorParts
 from ryepier.maintenance.planted import PLANTED_LEDGERS
 from ryepier.maintenance.replication.planted import ForgetGrantStorage, ForgetVoteStorage, VoteTwiceReplica
+from ryepier.maintenance.settings import CoordinatorParts
 
 PLANTS = {
     "cold-counts": CoordinatorParts(ledger=PLANTED_LEDGERS["cold-counts"]),
--- a/ryepier/maintenance/transport.py
+++ b/ryepier/maintenance/transport.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
 
 import msgspec
 
@@ -37,28 +36,6 @@
         raise TransportError(f"unreadable frame: {error}") from None
 
 
-class FrameReader:
-    """Puts frames together from bytes as they come."""
-
-    def __init__(self) -> None:
-        """Begin without any bytes."""
-        self.pending = bytearray()
-
-    def feed(self, data: bytes) -> Iterator[Frame]:
-        """The frames that are whole by now. Raises TransportError on what can't be one."""
-        self.pending += data
-        while len(self.pending) >= LENGTH_BYTES:
-            size = int.from_bytes(self.pending[:LENGTH_BYTES], "big")
-            if size > MAX_FRAME_BYTES:
-                raise TransportError(f"a frame of {size} bytes; {MAX_FRAME_BYTES} are allowed")
-            end = LENGTH_BYTES + size
-            if len(self.pending) < end:
-                return
-            body = bytes(self.pending[LENGTH_BYTES:end])
-            del self.pending[:end]
-            yield decode(body)
-
-
 class Connection:
     """An open connection that carries frames."""
 
--- a/tests/test_maintenance_processes.py
+++ b/tests/test_maintenance_processes.py
@@ -30,11 +30,11 @@
     SubmitRequest,
     Transfer,
 )
-from ryepier.maintenance.coordinator import addresses_of
 from ryepier.maintenance.observer import Listed, WarmthTracker
 from ryepier.maintenance.replication import storage
 from ryepier.maintenance.replication.messages import AppendEntries, RequestVote
 from ryepier.maintenance.results import Accepted, Begun, Granted, Refused, Released, Result
+from ryepier.maintenance.settings import addresses_of
 from ryepier.maintenance.status import Planning
 from ryepier.maintenance.transport import MAX_FRAME_BYTES, Connection, TransportError, encode
 
