--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -26,6 +26,7 @@
     storms,
 )
 from ryepier.experiments.contract import Claim, Experiment, Measured, Run, Scale
+from ryepier.experiments.load_spread import processes as load_spread_processes
 from ryepier.experiments.maintenance import cut, kill, overlap
 from ryepier.experiments.worlds import load
 
@@ -316,6 +317,7 @@
         *slicing.EXPERIMENTS,
         *graphql_front.EXPERIMENTS,
         *storms.EXPERIMENTS,
+        *load_spread_processes.EXPERIMENTS,
     )
 }
 MEASURED: dict[str, Measured] = {
