Count elections in a term that a replica had been in before

Change: a replica that stands for election votes for itself, so standing in a term that it was in before is a second vote, and a claim of its own; tests of how outages, elections and second votes are read from journals and logs.

--- a/ryepier/experiments/maintenance/kill.py
+++ b/ryepier/experiments/maintenance/kill.py
@@ -152,6 +152,12 @@
         *outcomes.common_claims(outcome),
         Claim("faults carried out", len(outcome.observed.majority_back_us), "==", FAULTS),
         Claim("leaders of one term, most", max(max(one.values(), default=0) for one in elections), "==", 1),
+        Claim(
+            "elections in a term that the replica had been in",
+            sum(outcomes.second_votes(outcome, replica_names(region)) for region in REGIONS),
+            "==",
+            0,
+        ),
         Claim("polls in which a converter that was out was under no lease", len(outcomes.forgotten(outcome)), "==", 0),
         Claim("converters that two leases had at once", len(outcomes.granted_twice(outcome)), "==", 0),
         Claim("requests accepted", len(accepted), "==", FITTING * len(REGIONS)),
--- a/ryepier/experiments/maintenance/outcome.py
+++ b/ryepier/experiments/maintenance/outcome.py
@@ -17,10 +17,12 @@
 from ryepier.experiments.maintenance.fleet_rig import MaintenanceRig, Observed, Poll
 from ryepier.maintenance.agreement import Agreement
 from ryepier.maintenance.judge import FULL, Change, breaches
+from ryepier.maintenance.replication.roles import Role
 
 RULES = ("unanswered", "broken", "second-answer", "run-twice", "unsafe-resend", "together", "drain", "cold", "crash")
 FOREVER_US = 10**18
-LEADS = "leader in term "
+IN_TERM = " in term "  # between role and term, in the log of a coordinator
+LEADS = f"{Role.LEADER.value}{IN_TERM}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +164,20 @@
     return elections
 
 
+def second_votes(outcome: Outcome, replicas: Sequence[str]) -> int:
+    """How often a replica stood for election in a term that it had been in before: each stands by voting for itself."""
+    found = 0
+    for name in replicas:
+        highest = 0
+        for line in log_lines(outcome.folder / f"{name}.log"):
+            role, separator, term = str(line.get("message", "")).partition(IN_TERM)
+            if not separator or not term.isdecimal():
+                continue
+            found += role == Role.CANDIDATE.value and int(term) <= highest
+            highest = max(highest, int(term))
+    return found
+
+
 def window_begins_us(outcome: Outcome, region: str) -> list[int]:
     """When the region's agent was given its leases: each first drain of an outage follows at once."""
     here = outcome.agreement.converters
--- /dev/null
+++ b/tests/test_maintenance_outcome.py
@@ -0,0 +1,68 @@
+"""What the experiments make of journals and logs: outages, and votes given twice."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from ryepier.experiments.maintenance.fleet_process import JournalLine
+from ryepier.experiments.maintenance.outcome import FOREVER_US, Outage, elections_by_term, outages, second_votes
+
+WARM_UP_US = 1000
+
+
+def journal(*steps: tuple[int, str, int]) -> list[JournalLine]:
+    return [JournalLine(at_us, action, "a", token) for at_us, action, token in steps]
+
+
+@pytest.mark.parametrize(
+    ("steps", "found"),
+    [
+        ([(10, "drain", 1), (20, "stop", 1), (30, "start", 1)], [(10, 1030, {1})]),
+        ([(10, "drain", 1), (20, "stop", 1)], [(10, FOREVER_US, {1})]),
+        (
+            [(10, "drain", 1), (20, "stop", 1), (30, "start", 1), (40, "stop", 2), (50, "start", 2)],
+            [(10, 1050, {1, 2})],
+        ),
+        (
+            [(10, "drain", 1), (20, "stop", 1), (30, "start", 1), (1030, "drain", 2)],
+            [(10, 1030, {1}), (1030, FOREVER_US, {2})],
+        ),
+        ([(10, "refused", 1), (20, "list", 1)], []),
+    ],
+    ids=["whole", "not back", "down again while cold", "again once warm", "nothing done"],
+)
+def test_an_outage_lasts_from_the_drain_until_a_life_is_warm(
+    steps: list[tuple[int, str, int]], found: list[tuple[int, int, set[int]]]
+) -> None:
+    expected = [Outage("a", begun_us, warm_us, frozenset(tokens)) for begun_us, warm_us, tokens in found]
+    assert list(outages(journal(*steps), WARM_UP_US)) == expected
+
+
+def outcome_with_log(folder: Path, *messages: str) -> SimpleNamespace:
+    lines = [json.dumps({"message": message}) for message in messages]
+    (folder / "north-0.log").write_text("\n".join(["a line that is no record", *lines]))
+    return SimpleNamespace(folder=folder)
+
+
+def test_standing_in_a_term_again_is_a_second_vote(tmp_path: Path) -> None:
+    usual = (
+        "candidate in term 1",
+        "leader in term 1",
+        "coordinator is up",
+        "follower in term 3",
+        "candidate in term 4",
+    )
+    assert second_votes(outcome_with_log(tmp_path, *usual), ["north-0"]) == 0  # type: ignore[arg-type]
+    again = outcome_with_log(tmp_path, *usual, "coordinator is up", "candidate in term 1")
+    assert second_votes(again, ["north-0"]) == 1  # type: ignore[arg-type]
+
+
+def test_elections_are_counted_by_term(tmp_path: Path) -> None:
+    outcome = outcome_with_log(
+        tmp_path, "leader in term 1", "follower in term 2", "leader in term 3", "leader in term 3"
+    )
+    assert elections_by_term(outcome, ["north-0"]) == {1: 1, 3: 2}  # type: ignore[arg-type]
