--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ryepier.experiments import load_spread
 from ryepier.experiments.core.contract import Experiment, Measured
 from ryepier.experiments.faults import experiments as faults
 from ryepier.experiments.graphql import graphql_front
@@ -37,6 +38,7 @@
         *fidelity.EXPERIMENTS,
         *scale_list.EXPERIMENTS,
         *scale_fail.EXPERIMENTS,
+        *load_spread.EXPERIMENTS,
         overlap.EXPERIMENT,
         kill.EXPERIMENT,
         cut.EXPERIMENT,
