--- a/ryepier/experiments/load_spread/processes.py
+++ b/ryepier/experiments/load_spread/processes.py
@@ -8,8 +8,8 @@
 
 from ryepier.emulator import timeline
 from ryepier.emulator.timeline import Who
-from ryepier.experiments import figures
-from ryepier.experiments.contract import Claim, Experiment, Run
+from ryepier.experiments.core import figures
+from ryepier.experiments.core.contract import Claim, Experiment, Run
 from ryepier.experiments.load_spread import processes_figures as spread
 from ryepier.experiments.load_spread import processes_worlds as worlds
 
--- a/ryepier/experiments/load_spread/processes_worlds.py
+++ b/ryepier/experiments/load_spread/processes_worlds.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from ryepier.emulator.world import Fault, World
-from ryepier.experiments.contract import Scale
+from ryepier.experiments.core.contract import Scale
+from ryepier.experiments.core.worlds import load
 from ryepier.experiments.load_spread.processes_machine import check_here
-from ryepier.experiments.worlds import load
 
 NAME = "load-spread-processes"
 FULL_SIDECARS, FULL_ZONE_CONVERTERS, FULL_RATE = 200, 20, 600.0
--- a/ryepier/experiments/maintenance/cut.py
+++ b/ryepier/experiments/maintenance/cut.py
@@ -8,13 +8,13 @@
 
 import msgspec
 
-from ryepier.experiments.contract import Claim, Measured, Scale
+from ryepier.experiments.core.contract import Claim, Measured, Scale
+from ryepier.experiments.core.worlds import load
 from ryepier.experiments.maintenance import outcome as outcomes
 from ryepier.experiments.maintenance.agreement_text import REGIONS
 from ryepier.experiments.maintenance.fleet_rig import MaintenanceRig, PlannedRequest, Scenario
 from ryepier.experiments.maintenance.outcome import FOREVER_US, Outcome
 from ryepier.experiments.maintenance.overlap import FITTING, draw_requests
-from ryepier.experiments.worlds import load
 from ryepier.maintenance.results import Accepted
 
 MAY_BE_OUT = 8
--- a/ryepier/experiments/maintenance/kill.py
+++ b/ryepier/experiments/maintenance/kill.py
@@ -10,13 +10,13 @@
 from pathlib import Path
 
 from ryepier.emulator.process import monotonic_us
-from ryepier.experiments.contract import Claim, Measured, Scale
+from ryepier.experiments.core.contract import Claim, Measured, Scale
+from ryepier.experiments.core.worlds import load
 from ryepier.experiments.maintenance import outcome as outcomes
 from ryepier.experiments.maintenance.agreement_text import REGIONS, replica_names
 from ryepier.experiments.maintenance.fleet_rig import MaintenanceRig, Scenario
 from ryepier.experiments.maintenance.outcome import FOREVER_US, Outcome
 from ryepier.experiments.maintenance.overlap import FITTING, draw_requests
-from ryepier.experiments.worlds import load
 from ryepier.maintenance.api import StatusReply
 from ryepier.maintenance.client import CallError
 from ryepier.maintenance.replication import storage
--- a/ryepier/experiments/maintenance/outcome.py
+++ b/ryepier/experiments/maintenance/outcome.py
@@ -14,8 +14,8 @@
 from ryepier.emulator.process import monotonic_us
 from ryepier.emulator.records import History
 from ryepier.emulator.world import World
-from ryepier.experiments import contract, figures, judge
-from ryepier.experiments.contract import Claim
+from ryepier.experiments.core import contract, figures, judge
+from ryepier.experiments.core.contract import Claim
 from ryepier.experiments.maintenance.fleet_process import JournalLine
 from ryepier.experiments.maintenance.fleet_rig import MaintenanceRig, Observed, Poll
 from ryepier.maintenance.agreement import Agreement
@@ -23,7 +23,18 @@
 from ryepier.maintenance.replication.roles import Role
 from ryepier.maintenance.results import Granted
 
-RULES = ("unanswered", "broken", "second-answer", "run-twice", "unsafe-resend", "together", "drain", "cold", "crash")
+RULES = (
+    "unanswered",
+    "held-up",
+    "broken",
+    "second-answer",
+    "run-twice",
+    "unsafe-resend",
+    "together",
+    "drain",
+    "cold",
+    "crash",
+)
 FOREVER_US = 10**18
 IN_TERM = " in term "  # between role and term, in the log of a coordinator
 LEADS = f"{Role.LEADER.value}{IN_TERM}"
--- a/tests/test_conventions.py
+++ b/tests/test_conventions.py
@@ -6,9 +6,10 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-RUFF = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["ruff"]["lint"]
+PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text())
+RUFF = PROJECT["tool"]["ruff"]["lint"]
 IGNORED = RUFF["per-file-ignores"]
-MOST_WITHOUT_DOCSTRINGS = 88  # lower it with the list; never raise it
+MOST_WITHOUT_DOCSTRINGS = 81  # lower it with the list; never raise it
 
 
 def test_the_list_of_modules_without_docstrings_only_shrinks() -> None:
@@ -25,3 +26,8 @@
     for path in (ROOT / "ryepier").rglob("*.py"):
         text = path.read_text()
         assert "noqa: D" not in text and "ruff: noqa" not in text, f"{path} switches docstrings off"
+
+
+def test_a_wheel_holds_every_package() -> None:
+    there = {".".join(path.parent.relative_to(ROOT).parts) for path in (ROOT / "ryepier").rglob("__init__.py")}
+    assert set(PROJECT["tool"]["setuptools"]["packages"]) == there
--- a/tests/test_load_spread_processes.py
+++ b/tests/test_load_spread_processes.py
@@ -11,11 +11,11 @@
 from ryepier.emulator.records import NEVER, Attempt
 from ryepier.emulator.timeline import Verb, Who
 from ryepier.emulator.world import Clients, Converters, Discovery, Fault, RequestClass, Rig, Sidecars, World
-from ryepier.experiments import figures, judge
-from ryepier.experiments.contract import Run, on_time
-from ryepier.experiments.hollow import InsufficientResourcesError, Machine
+from ryepier.experiments.core import figures, judge
+from ryepier.experiments.core.contract import Run, on_time
 from ryepier.experiments.load_spread import processes, processes_machine, processes_worlds
 from ryepier.experiments.load_spread import processes_figures as spread
+from ryepier.experiments.scale.hollow import InsufficientResourcesError, Machine
 
 SEED = 31
 SETTLED_S = 1.0
