--- a/ryepier/experiments/maintenance/overlap.py
+++ b/ryepier/experiments/maintenance/overlap.py
@@ -9,11 +9,11 @@
 
 from ryepier.emulator import draws
 from ryepier.emulator.world import World
-from ryepier.experiments.best_plan import best_plan
 from ryepier.experiments.core.contract import Claim, Measured, Scale
 from ryepier.experiments.core.worlds import load
 from ryepier.experiments.maintenance import outcome as outcomes
 from ryepier.experiments.maintenance.agreement_text import REGIONS, region_converters
+from ryepier.experiments.maintenance.best_plan import best_plan
 from ryepier.experiments.maintenance.fleet_rig import MaintenanceRig, PlannedRequest, Scenario, Submitted
 from ryepier.experiments.maintenance.outcome import Outcome
 from ryepier.maintenance.commands import Priority
--- a/tests/test_maintenance_scheduler.py
+++ b/tests/test_maintenance_scheduler.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ryepier.experiments.best_plan import best_plan
+from ryepier.experiments.maintenance.best_plan import best_plan
 from ryepier.maintenance.agreement import Converter
 from ryepier.maintenance.commands import AdvanceTime, BeginDrain, Priority, SubmitRequest
 from ryepier.maintenance.limits import Limit
