--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -26,6 +26,7 @@
     storms,
 )
 from ryepier.experiments.contract import Claim, Experiment, Measured, Run, Scale
+from ryepier.experiments.load_spread import even, returned
 from ryepier.experiments.load_spread import processes as load_spread_processes
 from ryepier.experiments.worlds import load
 
@@ -332,5 +333,7 @@
         *simulation.EXPERIMENTS,
         *scale_list.EXPERIMENTS,
         *scale_fail.EXPERIMENTS,
+        even.EXPERIMENT,
+        returned.EXPERIMENT,
     )
 }
