--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from ryepier.experiments import load_spread
 from ryepier.experiments.core.contract import Experiment, Measured
 from ryepier.experiments.faults import experiments as faults
 from ryepier.experiments.graphql import graphql_front
+from ryepier.experiments.load_spread import even, returned
 from ryepier.experiments.load_spread import processes as load_spread_processes
 from ryepier.experiments.maintenance import cut, kill, overlap
 from ryepier.experiments.planners import planner_reconnect, planner_scale, planning
@@ -38,7 +38,8 @@
         *fidelity.EXPERIMENTS,
         *scale_list.EXPERIMENTS,
         *scale_fail.EXPERIMENTS,
-        *load_spread.EXPERIMENTS,
+        even.EXPERIMENT,
+        returned.EXPERIMENT,
         overlap.EXPERIMENT,
         kill.EXPERIMENT,
         cut.EXPERIMENT,
