Shorten a replica's file below what was acknowledged in the test of it

Cause: the test cut five bytes off the file of a killed replica; once, under load, they were of a record that was on disk and not acknowledged yet, which is rightly cut and not refused. It now shortens the file below the acknowledged offset.

--- a/tests/test_maintenance_processes.py
+++ b/tests/test_maintenance_processes.py
@@ -253,7 +253,9 @@
         north.kill(two)  # from here on nothing is committed without the one whose file was torn
         assert await north.submit(a_request("r2", "n01")) == Accepted("r2")
         assert "3 bytes of an unfinished write were cut off" in north.log(one).read_text()
-        north.file(two).write_bytes(north.file(two).read_bytes()[:-5])
+        whole = north.file(two).read_bytes()
+        acknowledged, _ = storage.ACKNOWLEDGED.unpack_from(whole, len(storage.FILE_TYPE))
+        north.file(two).write_bytes(whole[: acknowledged - 5])  # a write that was not acknowledged may be behind it
         process = north.start(two)
         assert process.wait(WITHIN_S) == 2
         assert "bytes were acknowledged" in north.log(two).read_text().splitlines()[-1]
