Leave a free place of a subset to the next draw, which tries a newcomer at once

Cause: a place offered to a converter that comes back was filled also where the subset had room. Beside members with more slots and quicker answers it was then drawn seldom, where a draw tries what is not in the subset first while there is room. Seen: tests/test_list.py::test_what_a_full_list_leaves_out_is_gone_and_may_come_back failed in the whole run of the tests (30 requests, none to the converter that was back), since places are offered. It passes again, unchanged.

Change: an offered place replaces a member of a full subset, and nothing else.

--- a/ryepier/balancer/balancer.py
+++ b/ryepier/balancer/balancer.py
@@ -502,9 +502,9 @@
         for server in newcomers:
             if self.random.random() * listed >= places:
                 self.leave_subset(server)
-            elif server not in pool.subset:
-                if len(pool.subset) >= wanted and replaceable:
-                    self.leave_subset(replaceable.pop())
+            elif server not in pool.subset and len(pool.subset) >= wanted and replaceable:
+                # with a place free nothing is taken: the next draw tries one that is not in the subset
+                self.leave_subset(replaceable.pop())
                 pool.subset[server] = None
 
     def leave_subset(self, server: Server) -> None:
