--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""Converters that answer without a length: half at least of the answers that come whole must be forwarded."""
+"""A bad peer that sends two requests at once: a converter must run only what a client sent as a request of its own."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from pathlib import Path
 
 from common.deployment import (
@@ -13,76 +14,77 @@
     NOT_RUN,
     Application,
     Converter,
-    Message,
     Record,
+    Sidecar,
     has_trouble,
+    request_bytes,
     run_case,
-    running_sidecar,
-    with_length,
+    running_sidecars,
 )
 
 CONVERTER_COUNT = 9
-LENGTHLESS_EVERY = 4  # one of so many answers has no length
-REQUESTS_PER_CONNECTION = 60
-PAUSE_S = 0.05
-MIN_FORWARDED_SHARE = 0.5
-MIN_COUNT = 10  # with fewer answers the case says nothing
+BAD_PEER_COUNT = 5
+BAD_PEER_STAY_S = 3.0
+REQUESTS_PER_CONNECTION = 10
+PAUSE_RANGE_S = (0.05, 0.15)
 
 
-class Answers:
-    """Gives the converters' answers, every `LENGTHLESS_EVERY`th one without a length."""
+async def send_bytes(record: Record, sidecar: Sidecar, name: str, data: bytes) -> None:
+    """Send bytes on a new connection, and record what comes back until the sidecar closes it or the peer leaves."""
+    reader, writer = await sidecar.connect()
+    writer.write(data)
+    received = b""
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(BAD_PEER_STAY_S):
+            while part := await reader.read(1000):
+                received += part
+    writer.close()
+    record.write(f"bad peer {name} sent {data!r} in one write and got {received!r}")
 
-    def __init__(self, record: Record) -> None:
-        """Start with no answers."""
-        self.record = record
-        self.count = 0
-        self.whole_ids: list[str] = []  # requests whose answer had no length (TROUBLE=0: any) and was written whole
 
-    async def answer(self, request: Message, writer: asyncio.StreamWriter) -> bool:
-        """Write the answer to a request; end the connection after an answer without a length, as HTTP/1.1 asks."""
-        request_id = request.header("X-Request-Id")
-        body = b"converted " + request_id.encode()
-        self.count += 1
-        if self.count % LENGTHLESS_EVERY:
-            writer.write(with_length(body))
-            return True
-        self.whole_ids.append(request_id)
-        if not has_trouble():
-            writer.write(with_length(body))
-            return True
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/pdf\r\nConnection: close\r\n\r\n" + body)
-        await writer.drain()
-        self.record.write(f"whole answer without a length to {request_id}")
-        return False  # the connection is closed in order, with nothing unread
+async def be_bad_peer(record: Record, sidecar: Sidecar, number: int) -> None:
+    """Ask with GET for a class whose requests may not be repeated, and send a proper request of that class after it.
+
+    The GET is not a proper request of its class, which requires POST, so it is owed an error. With the disruption both
+    are sent at once; without it, each on a connection of its own.
+    """
+    improper_request = request_bytes(f"get-{number}", NON_IDEMPOTENT_CLASS, method="GET")
+    proper_request = request_bytes(f"post-{number}", NON_IDEMPOTENT_CLASS)
+    if has_trouble():
+        await send_bytes(record, sidecar, str(number), improper_request + proper_request)
+    else:
+        await send_bytes(record, sidecar, str(number), improper_request)
+        await send_bytes(record, sidecar, str(number), proper_request)
 
 
 async def case(record: Record) -> int:
-    """Send requests of both classes and count the answers without a length that reached the application."""
-    answers = Answers(record)
-    converters = [
-        Converter(record, f"s-{number}", work_s=0.05, answer=answers.answer) for number in range(CONVERTER_COUNT)
-    ]
-    async with running_sidecar(converters) as sidecar:
+    """Run the bad peers beside the application, then compare what the converters ran with what was sent."""
+    converters = [Converter(record, f"s-{number}") for number in range(CONVERTER_COUNT)]
+    async with running_sidecars(converters) as [sidecar]:
         application = Application(record, sidecar)
         await asyncio.gather(
-            application.send_requests("file-a", NON_IDEMPOTENT_CLASS, REQUESTS_PER_CONNECTION, PAUSE_S),
-            application.send_requests("file-b", NON_IDEMPOTENT_CLASS, REQUESTS_PER_CONNECTION, PAUSE_S),
-            application.send_requests("batch-a", KEYED_CLASS, REQUESTS_PER_CONNECTION, PAUSE_S),
+            application.send_requests("file", NON_IDEMPOTENT_CLASS, REQUESTS_PER_CONNECTION, PAUSE_RANGE_S),
+            application.send_requests("batch", KEYED_CLASS, REQUESTS_PER_CONNECTION, PAUSE_RANGE_S),
+            *(be_bad_peer(record, sidecar, number) for number in range(BAD_PEER_COUNT)),
         )
-    # Only requests that may not be sent again tell for certain which answer was forwarded.
-    whole_ids = [request_id for request_id in answers.whole_ids if request_id.startswith("file")]
-    forwarded = 0
-    for request_id in whole_ids:
-        client_answer = application.answers.get(request_id)
-        forwarded += client_answer is not None and client_answer.body == b"converted " + request_id.encode()
+    # What was sent as a proper request, by id. All of them are POST requests with the same body.
+    sent = {f"post-{number}": NON_IDEMPOTENT_CLASS for number in range(BAD_PEER_COUNT)}
+    sent |= {request_id: request_id.partition("-")[0] for request_id in application.answers}
+    sent_by_nobody = [
+        request
+        for converter in converters
+        for request in converter.requests
+        if request.header("X-Request-Id") not in sent
+    ]
+    for request in sent_by_nobody:
+        record.write(f"sent by nobody: {request.start_line}, X-Request-Id {request.header('X-Request-Id')}")
     record.write(
-        f"{application.count(200)} of {len(application.answers)} requests served, {application.count(500)} failed; "
-        f"of {len(whole_ids)} whole answers {'without' if has_trouble() else 'with'} a length to "
-        f"{NON_IDEMPOTENT_CLASS}, {forwarded} were forwarded"
+        f"{application.count(200)} of {len(application.answers)} requests of the application served, "
+        f"{len(sent_by_nobody)} requests at converters that no client sent"
     )
-    if len(whole_ids) < MIN_COUNT:
+    if application.count(200) == 0:
         return NOT_RUN
-    return BROKEN if forwarded < MIN_FORWARDED_SHARE * len(whole_ids) else HELD
+    return BROKEN if sent_by_nobody else HELD
 
 
 if __name__ == "__main__":
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import resource
 import signal
 import socket
@@ -189,6 +190,7 @@
     uid: str
     work_s: float = 0.1
     answer: Answer | None = None  # replaces the usual answer with the request's id
+    sets_no_delay: bool = True  # False: the system may hold back small writes, as it does by default
     requests: list[Message] = field(default_factory=list)
     port: int = 0
 
@@ -199,6 +201,8 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve the requests of one connection."""
+        connection: socket.socket = writer.get_extra_info("socket")
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, self.sets_no_delay)
         with contextlib.suppress(*CONNECTION_ENDS):
             while True:
                 request = await read_message(reader)
@@ -264,8 +268,9 @@
 class Sidecar:
     """The real sidecar, started by the deploy file's `run` command."""
 
-    def __init__(self, memory_mb: int, sockets: int) -> None:
-        """Set the limits that the configuration states."""
+    def __init__(self, name: str, memory_mb: int, sockets: int) -> None:
+        """Set the name and the limits that the configuration states."""
+        self.name = name
         self.memory_mb = memory_mb
         self.sockets = sockets
         self.port = free_port()
@@ -274,7 +279,7 @@
     async def start(self, discovery: Discovery, folder: Path) -> None:
         """Start the process and wait until it is ready. Raises CaseError."""
         configuration = {
-            "name": "n1",
+            "name": self.name,
             "listen": f"{LOOPBACK}:{self.port}",
             "discovery": f"{LOOPBACK}:{discovery.port}",
             "seed": os.urandom(8).hex(),
@@ -289,7 +294,7 @@
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
         environment = {name: value for name, value in os.environ.items() if not name.startswith(("PYTHON", "VIRTUAL"))}
         environment |= {
-            "BALANCER_NAME": "n1",
+            "BALANCER_NAME": self.name,
             "BALANCER_LISTEN": configuration["listen"],
             "BALANCER_DISCOVERY": configuration["discovery"],
             "BALANCER_CONFIG": str(path),
@@ -352,8 +357,9 @@
     sidecar: Sidecar
     answers: dict[str, Message | None] = field(default_factory=dict)  # by request id; None = no answer
 
-    async def send_requests(self, name: str, class_name: str, count: int, pause_s: float) -> None:
-        """Send requests one after another, with a pause after each answer. Stop once the sidecar is gone."""
+    async def send_requests(self, name: str, class_name: str, count: int, pause_range_s: tuple[float, float]) -> None:
+        """Send requests one after another, with a random pause after each answer. Stop once the sidecar is gone."""
+        pauses = random.Random(name)
         reader, writer = await self.sidecar.connect()
         for number in range(count):
             request_id = f"{name}-{number}"
@@ -364,7 +370,7 @@
                     reader, writer = await self.sidecar.connect()
             except OSError:
                 break
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(pauses.uniform(*pause_range_s))
         writer.close()
 
     async def send_request(
@@ -390,21 +396,25 @@
 
 
 @contextlib.asynccontextmanager
-async def running_sidecar(
-    converters: list[Converter], memory_mb: int = 64, sockets: int = 256
-) -> AsyncIterator[Sidecar]:
-    """Start the converters, discovery and the sidecar; kill the sidecar at the end."""
+async def running_sidecars(
+    converters: list[Converter], count: int = 1, memory_mb: int = 64, sockets: int = 256
+) -> AsyncIterator[list[Sidecar]]:
+    """Start the converters, discovery and the sidecars; kill the sidecars at the end."""
     for converter in converters:
         await converter.start()
     discovery = Discovery(converters)
     await discovery.start()
-    sidecar = Sidecar(memory_mb, sockets)
+    sidecars = [Sidecar(f"n{number}", memory_mb, sockets) for number in range(count)]
     with tempfile.TemporaryDirectory() as folder:
         try:
-            await sidecar.start(discovery, Path(folder))
-            yield sidecar
+            for sidecar in sidecars:
+                sidecar_folder = Path(folder) / sidecar.name
+                sidecar_folder.mkdir()
+                await sidecar.start(discovery, sidecar_folder)
+            yield sidecars
         finally:
-            await sidecar.stop()
+            for sidecar in sidecars:
+                await sidecar.stop()
 
 
 def has_trouble() -> bool:
