Move the parsing of a client's request into a module of its own

Need: ClientConnection held the parser's callbacks beside states, timeouts and writing, and the limits on input stood apart from the bytes that they limit. Change: RequestReader owns its parser and lives in ryepier/sidecar/request_reader.py; one reader a request, released with its response. No behaviour changes.

--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -9,19 +9,15 @@
 import socket
 from typing import Protocol
 
-import httptools
-
 from ryepier.sidecar import system
 from ryepier.sidecar.dispatcher import RequestDispatcher
 from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.request_parsing import READINESS_PATH, Dialect, RequestError, Response, retry_after_line
-from ryepier.sidecar.requests import ClientRequest, FinalAnswer, Header
+from ryepier.sidecar.request_reader import RequestReader
+from ryepier.sidecar.requests import ClientRequest, FinalAnswer
 
 log = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 16 * 1024
-MAX_CHUNKED_BYTES = 8 * MAX_BODY_BYTES  # limit of a chunked message with its framing: a one-byte chunk takes six bytes
 MAX_DISCARDED_BYTES = 64 * 1024  # limit of the bytes received after the last request; beyond it, reading is paused
 READ_TIMEOUT_S = 2.4  # time to send a request: the first one from the connect, a later one from its first byte
 SLOW_READ_TIMEOUT_S = 6.0  # time to send a later request whose bytes keep arriving
@@ -58,51 +54,6 @@
 }
 
 
-class RequestReader:
-    """Collects one request from the callbacks of the HTTP parser."""
-
-    __slots__ = ("body", "chunked", "head_complete", "headers", "is_complete", "received_bytes", "target")
-
-    def __init__(self) -> None:
-        """Start before the first byte of a request."""
-        self.is_complete = False
-        self.head_complete = False
-        self.chunked = False
-        self.target = b""
-        self.headers: list[Header] = []
-        self.received_bytes = 0
-        self.body = bytearray()
-
-    @property
-    def is_partial(self) -> bool:
-        """Whether a request has arrived in part but not completely."""
-        return self.received_bytes > 0 and not self.is_complete
-
-    def add_header(self, name: bytes, value: bytes) -> None:
-        """Add a header. Raises RequestError for a transfer coding other than chunked, or a body that is too long."""
-        lower_name = name.lower()
-        if lower_name == b"transfer-encoding":
-            if value.strip().lower() != b"chunked":
-                raise RequestError(400, "a transfer coding other than chunked")
-            self.chunked = True
-        if lower_name == b"content-length" and int(value) > MAX_BODY_BYTES:
-            raise RequestError(413, "the body is too long")
-        self.headers.append((name, value))
-
-    def add_body(self, data: bytes) -> None:
-        """Add bytes to the body. Raises RequestError if it is too long, as a chunked body has no length in its head."""
-        self.body += data
-        if len(self.body) > MAX_BODY_BYTES:
-            raise RequestError(413, "the body is too long")
-
-    def check_length(self) -> None:
-        """Raise RequestError if the head, or a chunked body with its extensions and trailers, is too long."""
-        if not self.head_complete and self.received_bytes > MAX_HEAD_BYTES:
-            raise RequestError(413, "the head is too long")
-        if self.chunked and not self.is_complete and self.received_bytes > MAX_CHUNKED_BYTES:
-            raise RequestError(413, "the chunks are too long")
-
-
 class ClientConnectionOwner(Protocol):
     """The part of the server that its connections use."""
 
@@ -134,7 +85,6 @@
         self.server = server
         self.sock = sock
         self.transport: asyncio.Transport | None = None
-        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.state = ClientState.NEW
         self.state_since = system.monotonic()
         self.last_received_at = 0.0  # time of the current request's last bytes; 0 = none yet
@@ -156,49 +106,11 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Remove the connection from the server and close its open request."""
         self.server.remove(self)
-        # Break the reference cycle with the parser; it would otherwise stay until the next full garbage collection, and
-        # those are rare.
-        self.parser = self.request = None
+        self.reader.release()
+        self.request = None
         if self.state is ClientState.PROCESSING:
             self.server.dispatcher.on_client_disconnected(self.request_ident)
 
-    # Callbacks of the HTTP parser
-
-    def on_message_begin(self) -> None:
-        """Record that another request was sent before the current one was answered."""
-        if self.reader.is_complete:
-            self.has_pipelined_bytes = True
-
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the request target."""
-        if not self.reader.is_complete:
-            self.reader.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header. Trailers are ignored, as they could contradict the headers."""
-        if not self.reader.is_complete and not self.reader.head_complete:
-            self.reader.add_header(name, value)
-
-    def on_headers_complete(self) -> None:
-        """Record the end of the head. Raises RequestError for a chunked body in HTTP/1.0."""
-        assert self.parser is not None
-        if self.reader.is_complete:
-            return
-        # An HTTP/1.0 proxy in front of this server ignores the transfer coding and goes by Content-Length. The proxy
-        # and the sidecar would then disagree about where the next request begins.
-        if self.reader.chunked and self.parser.get_http_version() != "1.1":
-            raise RequestError(400, "a transfer coding, but not HTTP/1.1")
-        self.reader.head_complete = True
-
-    def on_body(self, data: bytes) -> None:
-        """Append a part of the body. Raises RequestError if the body is too long."""
-        if not self.reader.is_complete:
-            self.reader.add_body(data)
-
-    def on_message_complete(self) -> None:
-        """Record that the request is complete."""
-        self.reader.is_complete = True
-
     # Reading
 
     def data_received(self, data: bytes) -> None:
@@ -208,10 +120,10 @@
             return
         if self.state is ClientState.IDLE:
             self.server.change_state(self, ClientState.READING)
-        self.reader.received_bytes += len(data)
         self.last_received_at = system.monotonic()
         try:
-            self._feed(data)
+            self.reader.feed(data)
+            self.has_pipelined_bytes = self.reader.has_pipelined_bytes
             if self.reader.is_complete:
                 self._accept_request()
         except RequestError as error:
@@ -236,25 +148,14 @@
                 self.write(Response(400), last=True)
             self.transport.pause_reading()
 
-    def _feed(self, data: bytes) -> None:
-        assert self.parser is not None
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            raise cause if isinstance(cause, RequestError) else error from None
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            # Malformed bytes after a complete request mean that the request's length was wrong, so it is rejected too.
-            raise RequestError(400, "malformed request") from None
-        self.reader.check_length()
-
     def _accept_request(self) -> None:
         """Hand the complete request to the dispatcher. Raises RequestError if it is not acceptable."""
-        assert self.transport is not None and self.parser is not None
-        reader, method = self.reader, self.parser.get_method()
-        if self.parser.get_http_version() not in SUPPORTED_HTTP_VERSIONS:
+        reader = self.reader
+        assert self.transport is not None and reader.parser is not None
+        method = reader.parser.get_method()
+        if reader.parser.get_http_version() not in SUPPORTED_HTTP_VERSIONS:
             raise RequestError(400, "not HTTP/1.1")
-        if not self.parser.should_keep_alive():
+        if not reader.parser.should_keep_alive():
             self.closes_after_response = True
         if reader.target == READINESS_PATH and method == b"GET":
             self.write(Response(200 if self.server.is_ready else 503))
@@ -320,6 +221,7 @@
         if self.has_pipelined_bytes and not last:
             data += PIPELINING_REJECTION
         self.transport.write(data)
+        self.reader.release()
         if last or self.has_pipelined_bytes:
             # Closing a socket with unread bytes resets the connection, and the client might lose its response. So only
             # the sending direction is closed.
--- /dev/null
+++ b/ryepier/sidecar/request_reader.py
@@ -0,0 +1,124 @@
+"""Reads one HTTP/1.1 request from the bytes of a client connection, within limits on its size."""
+
+from __future__ import annotations
+
+import httptools
+
+from ryepier.sidecar.request_parsing import RequestError
+from ryepier.sidecar.requests import Header
+
+MAX_BODY_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 16 * 1024
+MAX_CHUNKED_BYTES = 8 * MAX_BODY_BYTES  # limit of a chunked message with its framing: a one-byte chunk takes six bytes
+
+
+class RequestReader:
+    """Collects one request from the callbacks of an HTTP parser."""
+
+    __slots__ = (
+        "body",
+        "chunked",
+        "has_pipelined_bytes",
+        "head_complete",
+        "headers",
+        "is_complete",
+        "parser",
+        "received_bytes",
+        "target",
+    )
+
+    def __init__(self) -> None:
+        """Start before the first byte of a request."""
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.is_complete = False
+        self.has_pipelined_bytes = False  # bytes have arrived after the end of the request
+        self.head_complete = False
+        self.chunked = False
+        self.target = b""
+        self.headers: list[Header] = []
+        self.received_bytes = 0
+        self.body = bytearray()
+
+    @property
+    def is_partial(self) -> bool:
+        """Whether a request has arrived in part but not completely."""
+        return self.received_bytes > 0 and not self.is_complete
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes. Raises RequestError if they are malformed or the request is too long."""
+        assert self.parser is not None
+        self.received_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            raise cause if isinstance(cause, RequestError) else error from None
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # Malformed bytes after a complete request mean that the request's length was wrong, so it is rejected too.
+            raise RequestError(400, "malformed request") from None
+        self._check_length()
+
+    def release(self) -> None:
+        """Break the reference cycle with the parser, which only a rare full garbage collection would end."""
+        self.parser = None
+
+    def _add_header(self, name: bytes, value: bytes) -> None:
+        """Add a header. Raises RequestError for a transfer coding other than chunked, or a body that is too long."""
+        lower_name = name.lower()
+        if lower_name == b"transfer-encoding":
+            if value.strip().lower() != b"chunked":
+                raise RequestError(400, "a transfer coding other than chunked")
+            self.chunked = True
+        if lower_name == b"content-length" and int(value) > MAX_BODY_BYTES:
+            raise RequestError(413, "the body is too long")
+        self.headers.append((name, value))
+
+    def _check_length(self) -> None:
+        """Raise RequestError if the head, or a chunked body with its extensions and trailers, is too long."""
+        if not self.head_complete and self.received_bytes > MAX_HEAD_BYTES:
+            raise RequestError(413, "the head is too long")
+        if self.chunked and not self.is_complete and self.received_bytes > MAX_CHUNKED_BYTES:
+            raise RequestError(413, "the chunks are too long")
+
+    # Callbacks of the HTTP parser
+
+    def on_message_begin(self) -> None:
+        """Record that another request was sent before the current one was answered."""
+        if self.is_complete:
+            self.has_pipelined_bytes = True
+
+    def on_url(self, url: bytes) -> None:
+        """Append a part of the request target."""
+        if not self.is_complete:
+            self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header. Trailers are ignored, as they could contradict the headers."""
+        if not self.is_complete and not self.head_complete:
+            self._add_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Record the end of the head. Raises RequestError for a chunked body in HTTP/1.0."""
+        assert self.parser is not None
+        if self.is_complete:
+            return
+        # An HTTP/1.0 proxy in front of this server ignores the transfer coding and goes by Content-Length. The proxy
+        # and the sidecar would then disagree about where the next request begins.
+        if self.chunked and self.parser.get_http_version() != "1.1":
+            raise RequestError(400, "a transfer coding, but not HTTP/1.1")
+        self.head_complete = True
+
+    def on_body(self, data: bytes) -> None:
+        """Append a part of the body. Raises RequestError if it is too long.
+
+        Content-Length was checked before, but a chunked body has no length in its head.
+        """
+        if self.is_complete:
+            return
+        self.body += data
+        if len(self.body) > MAX_BODY_BYTES:
+            raise RequestError(413, "the body is too long")
+
+    def on_message_complete(self) -> None:
+        """Record that the request is complete."""
+        self.is_complete = True
