Log why a request was not accepted and how much of it had arrived

Cause: a sidecar wrote nothing when it rejected input, so long heads, long bodies, slow peers and malformed bytes could not be told apart in its log, nor how much of each request was held. Change: one info line with status, reason, part and bytes for each request that is rejected before it is accepted; it is subject to the limit on lines per second.

--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -127,12 +127,17 @@
             if self.reader.is_complete:
                 self._accept_request()
         except RequestError as error:
+            self._log_rejection(error.status, str(error))
             response = self.server.dialect.render_error(self.reader.target, error)
             self.write(response, last=not error.keeps_connection)
         except Exception:  # an error in one request must affect neither the process nor other requests
             log.exception("request could not be read")
             self.write(Response(500), last=True)
 
+    def _log_rejection(self, status: int, reason: str) -> None:
+        part = "body" if self.reader.head_complete else "head"
+        log.info("request not accepted, status %d: %s (%s, %d bytes)", status, reason, part, self.reader.received_bytes)
+
     def _discard(self, data: bytes) -> None:
         """Discard bytes that follow the last accepted request.
 
@@ -202,6 +207,7 @@
 
     def reject_partial(self) -> None:
         """Reject a request that has arrived only in part, and close the connection."""
+        self._log_rejection(503, "its rest is not awaited")
         self.write(Response(503, b"", retry_after_line(self.server.partial_retry_after_us)), last=True)
 
     def write(self, response: Response, last: bool = False) -> None:
@@ -264,6 +270,7 @@
             # later requests get the longer timeout.
             timeout_s = READ_TIMEOUT_S if self.state is ClientState.NEW else SLOW_READ_TIMEOUT_S
             if now > min(self.last_received_at + READ_STALL_S, self.state_since + timeout_s):
+                self._log_rejection(408, "it arrives too slowly")
                 self.write(Response(408), last=True)
             return
         may_still_flush = now < self.state_since + STATE_TIMEOUTS_S[self.state] + FLUSH_TIMEOUT_S
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,6 +9,7 @@
 
 from ryepier.conf.operator_settings import LogFormat, LoggingSettings
 from ryepier.logs import structured
+from tests.network_peers import check_rejected, request, run_async
 
 
 class FormattingCounter:
@@ -49,3 +50,10 @@
         root_logger.debug("%s", FormattingCounter())
         root_logger.info("%s", FormattingCounter())
     assert FormattingCounter.format_count == 3 and len(capsys.readouterr().err.splitlines()) == 3
+
+
+def test_a_rejected_request_is_logged_with_its_reason_and_size(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    run_async(lambda: check_rejected(request("pay", body=b"x" * 70_000), 413))
+    [line] = [record.message for record in caplog.records if "not accepted" in record.message]
+    assert line.startswith("request not accepted, status 413: the body is too long (head, ")
