--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -166,13 +166,14 @@
             self.write(Response(200 if self.server.is_ready else 503))
             return
         request = self.server.dialect.parse(method, reader.target, reader.headers, bytes(reader.body))
-        self.request = request
         if not self.server.recent_ids.add(request.request_id):
             # An upstream that is working on the same id would reject this request, and the response to one client's
             # request might reach the other client.
             raise RequestError(409, "this X-Request-Id has been used")
         if self.transport.get_write_buffer_size() > 0:  # responses that the client does not read would fill the memory
             raise RequestError(400, "the last answer was not read")
+        reader.release()
+        self.request = request
         self.server.change_state(self, ClientState.PROCESSING)
         request.client_disconnected = self.client_disconnected
         self.request_ident = self.server.dispatcher.on_request(request, self.respond)
@@ -228,6 +229,7 @@
             data += PIPELINING_REJECTION
         self.transport.write(data)
         self.reader.release()
+        self.request = None
         if last or self.has_pipelined_bytes:
             # Closing a socket with unread bytes resets the connection, and the client might lose its response. So only
             # the sending direction is closed.
@@ -236,7 +238,6 @@
         else:
             self.reader = RequestReader()
             self.last_received_at = 0.0
-            self.request = None
             self.server.change_state(self, ClientState.IDLE)
 
     # Closing
--- a/ryepier/sidecar/request_reader.py
+++ b/ryepier/sidecar/request_reader.py
@@ -6,12 +6,23 @@
 
 from ryepier.sidecar.request_parsing import RequestError
 from ryepier.sidecar.requests import Header
+from ryepier.sidecar.segments import MAX_SEGMENT_BYTES, split_into_segments
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
+MAX_HEADER_COUNT = 100  # a stored header takes some 150 bytes, however short its line is
 MAX_CHUNKED_BYTES = 8 * MAX_BODY_BYTES  # limit of a chunked message with its framing: a one-byte chunk takes six bytes
 
 
+def callback_error(error: httptools.HttpParserCallbackError) -> Exception:
+    """Return the RequestError that a callback raised, or the parser's error around any other.
+
+    The caller must not bind the result to a local variable: its traceback holds the caller's frame, and with it the
+    received bytes, so this would be a reference cycle.
+    """
+    return error.__context__ if isinstance(error.__context__, RequestError) else error
+
+
 class RequestReader:
     """Collects one request from the callbacks of an HTTP parser."""
 
@@ -46,24 +57,49 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes. Raises RequestError if they are malformed or the request is too long."""
+        for segment in split_into_segments(data, self._bytes_until_limit):
+            self.received_bytes += len(segment)
+            self._parse(segment)
+            self._check_length()
+
+    def release(self) -> None:
+        """Drop what was collected, and break the reference cycle with the parser.
+
+        Only a rare full garbage collection would end that cycle, and the connection may stay open for some time.
+        """
+        self.parser = None
+        self.target = b""
+        self.headers = []
+        self.body = bytearray()
+
+    def _parse(self, segment: bytes) -> None:
         assert self.parser is not None
-        self.received_bytes += len(data)
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(segment)
         except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            raise cause if isinstance(cause, RequestError) else error from None
+            raise callback_error(error) from None
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # Malformed bytes after a complete request mean that the request's length was wrong, so it is rejected too.
             raise RequestError(400, "malformed request") from None
-        self._check_length()
 
-    def release(self) -> None:
-        """Break the reference cycle with the parser, which only a rare full garbage collection would end."""
-        self.parser = None
+    def _bytes_until_limit(self) -> int:
+        if self.is_complete:
+            return MAX_SEGMENT_BYTES
+        return (MAX_CHUNKED_BYTES if self.head_complete else MAX_HEAD_BYTES) - self.received_bytes
+
+    def _check_length(self) -> None:
+        """Raise RequestError if the head, or a chunked body with its extensions and trailers, is too long."""
+        if self.is_complete or self._bytes_until_limit() > 0:
+            return
+        raise RequestError(413, "the chunks are too long" if self.head_complete else "the head is too long")
 
     def _add_header(self, name: bytes, value: bytes) -> None:
-        """Add a header. Raises RequestError for a transfer coding other than chunked, or a body that is too long."""
+        """Add a header.
+
+        Raises RequestError for too many headers, a transfer coding other than chunked, or a body that is too long.
+        """
+        if len(self.headers) >= MAX_HEADER_COUNT:
+            raise RequestError(431, "too many headers")
         lower_name = name.lower()
         if lower_name == b"transfer-encoding":
             if value.strip().lower() != b"chunked":
@@ -73,13 +109,6 @@
             raise RequestError(413, "the body is too long")
         self.headers.append((name, value))
 
-    def _check_length(self) -> None:
-        """Raise RequestError if the head, or a chunked body with its extensions and trailers, is too long."""
-        if not self.head_complete and self.received_bytes > MAX_HEAD_BYTES:
-            raise RequestError(413, "the head is too long")
-        if self.chunked and not self.is_complete and self.received_bytes > MAX_CHUNKED_BYTES:
-            raise RequestError(413, "the chunks are too long")
-
     # Callbacks of the HTTP parser
 
     def on_message_begin(self) -> None:
--- a/ryepier/sidecar/upstream_connection.py
+++ b/ryepier/sidecar/upstream_connection.py
@@ -15,6 +15,7 @@
 from ryepier.errors import RyepierError
 from ryepier.sidecar.request_parsing import NOT_RUN_HEADER
 from ryepier.sidecar.requests import AttemptResult
+from ryepier.sidecar.segments import MAX_SEGMENT_BYTES, split_into_segments
 from ryepier.sidecar.upstream_attempt import UpstreamAttempt
 
 log = logging.getLogger(__name__)
@@ -28,7 +29,7 @@
 
 
 class ResponseTooLongError(RyepierError):
-    """The body of a response exceeds MAX_BODY_BYTES; reading on might take hours."""
+    """A response exceeds a limit on its size; reading on might take hours or fill the memory."""
 
 
 class ConnectionState(enum.Enum):
@@ -56,14 +57,21 @@
         self.head_complete = False
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes of the response. Raises HttpParserError or HttpParserUpgrade on malformed input."""
+        """Parse bytes of the response.
+
+        Raises HttpParserError or HttpParserUpgrade on malformed input, ResponseTooLongError if it exceeds a limit.
+        """
         assert self.parser is not None
-        self.received_bytes += len(data)
-        self.parser.feed_data(data)
+        for segment in split_into_segments(data, self._bytes_until_limit):
+            self.received_bytes += len(segment)
+            self.parser.feed_data(segment)
+            if not self.is_complete and self._bytes_until_limit() <= 0:
+                raise ResponseTooLongError
 
-    def is_too_long(self) -> bool:
-        """Return whether the response exceeds its size limit; an endless response would fill the memory."""
-        return self.received_bytes > (MAX_RESPONSE_BYTES if self.head_complete else MAX_HEAD_BYTES)
+    def _bytes_until_limit(self) -> int:
+        if self.is_complete:
+            return MAX_SEGMENT_BYTES
+        return (MAX_RESPONSE_BYTES if self.head_complete else MAX_HEAD_BYTES) - self.received_bytes
 
     def release(self) -> None:
         """Break the reference cycle with the parser, which only a rare full garbage collection would end."""
@@ -217,13 +225,13 @@
         malformed = False
         try:
             response.feed(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ResponseTooLongError):
             malformed = True  # the bytes that follow could be taken for the next response
         if malformed or not response.keeps_alive:
             self._mark_unusable()
         if response.is_complete:
             self._finish_complete(response)
-        elif malformed or response.is_too_long():
+        elif malformed:
             self.close()
             self._finish(Outcome.MALFORMED_RESPONSE)
 
--- a/tests/limited_sidecar.py
+++ b/tests/limited_sidecar.py
@@ -1,8 +1,9 @@
-"""A sidecar process with the minimum number of descriptors, and an endpoint list of 100 converters at one address."""
+"""A sidecar process with the smallest deployment's limits, and an endpoint list of 100 converters at one address."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import resource
 import socket
@@ -29,7 +30,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 DESCRIPTOR_LIMIT = 256  # the smallest limit that a sidecar must work with
 CONVERTER_COUNT = 100
-DESCRIPTOR_CHECK_INTERVAL_S = 0.002
+MEMORY_LIMIT_MB = 32  # the smallest limit that a sidecar must work with
+SAMPLE_INTERVAL_S = 0.002
 
 
 def was_closed(writer: asyncio.StreamWriter) -> bool:
@@ -41,19 +43,30 @@
             return False
 
 
+def anonymous_memory_mb(pid: int) -> float:
+    """Return a process's memory in MiB without the pages of its files; 0 if the process has ended."""
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
 @dataclass
 class LimitedSidecar:
-    """A sidecar process, and the highest number of open descriptors seen in it."""
+    """A sidecar process, and the highest number of open descriptors and the most memory seen in it."""
 
     pid: int
     port: int
     max_descriptors: int = 0
+    max_memory_mb: float = 0.0
 
-    async def sample_descriptor_count(self) -> None:
-        """Update `max_descriptors` until cancelled."""
+    async def sample_usage(self) -> None:
+        """Update `max_descriptors` and `max_memory_mb` until cancelled."""
         while True:
             self.max_descriptors = max(self.max_descriptors, len(os.listdir(f"/proc/{self.pid}/fd")))
-            await asyncio.sleep(DESCRIPTOR_CHECK_INTERVAL_S)
+            self.max_memory_mb = max(self.max_memory_mb, anonymous_memory_mb(self.pid))
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
 
     async def connect(self) -> Streams:
         """Open a connection."""
@@ -97,8 +110,10 @@
     return endpoint_list(*(endpoint_entry(f"u{number}", upstream.port) for number in range(CONVERTER_COUNT)), rev=rev)
 
 
-def write_sidecar_configuration(directory: Path, port: int, upstream: Upstream, discovery_port: int) -> Path:
-    """Write the configuration file of a sidecar with DESCRIPTOR_LIMIT and return its path.
+def write_sidecar_configuration(
+    directory: Path, port: int, upstream: Upstream, discovery_port: int, descriptor_limit: int
+) -> Path:
+    """Write the configuration file of a sidecar with MEMORY_LIMIT_MB and return its path.
 
     The latency objective is long, so that responses that a test delays do not count as slow. Otherwise the sidecar
     would reject requests.
@@ -112,13 +127,13 @@
         discovery=f"127.0.0.1:{discovery_port}",
         known=converter_list(upstream, 1),
         settings=SETTINGS | {"request-classes": [pay], "invariants": invariants, "bounds": bounds},
-        limits={"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTOR_LIMIT},
+        limits={"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": descriptor_limit},
     )
 
 
-async def start_process(configuration: Path, log_path: Path) -> asyncio.subprocess.Process:
-    """Start the sidecar process with DESCRIPTOR_LIMIT."""
-    limits = (DESCRIPTOR_LIMIT, DESCRIPTOR_LIMIT)
+async def start_process(configuration: Path, log_path: Path, descriptor_limit: int) -> asyncio.subprocess.Process:
+    """Start the sidecar process with a limit on its open descriptors."""
+    limits = (descriptor_limit, descriptor_limit)
     with log_path.open("wb") as log_file:
         return await asyncio.create_subprocess_exec(
             sys.executable,
@@ -133,19 +148,23 @@
 
 
 @asynccontextmanager
-async def limited_sidecar(directory: Path, upstream: Upstream, discovery_port: int) -> AsyncIterator[LimitedSidecar]:
-    """Run the sidecar, and check at the end that it still runs and never had all its descriptors open."""
+async def limited_sidecar(
+    directory: Path, upstream: Upstream, discovery_port: int, descriptor_limit: int = DESCRIPTOR_LIMIT
+) -> AsyncIterator[LimitedSidecar]:
+    """Run the sidecar, and check at the end that it still runs and never reached its limits."""
     await upstream.start()
     port, log_path = free_port(), directory / "log"
-    process = await start_process(write_sidecar_configuration(directory, port, upstream, discovery_port), log_path)
+    configuration = write_sidecar_configuration(directory, port, upstream, discovery_port, descriptor_limit)
+    process = await start_process(configuration, log_path, descriptor_limit)
     sidecar = LimitedSidecar(process.pid, port)
-    watch_task = asyncio.create_task(sidecar.sample_descriptor_count())
+    watch_task = asyncio.create_task(sidecar.sample_usage())
     try:
         await sidecar.wait_until_listening()
         yield sidecar
         assert process.returncode is None
         assert "connection not accepted" not in log_path.read_text()
-        assert sidecar.max_descriptors < DESCRIPTOR_LIMIT
+        assert sidecar.max_descriptors < descriptor_limit
+        assert sidecar.max_memory_mb < MEMORY_LIMIT_MB
     finally:
         watch_task.cancel()
         if process.returncode is None:
--- /dev/null
+++ b/tests/test_memory_limits.py
@@ -0,0 +1,150 @@
+"""Memory that a sidecar needs for what its peers send, beside the smallest limits that it must work with."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import time
+import tracemalloc
+from pathlib import Path
+
+import pytest
+
+from ryepier.sidecar.request_parsing import RequestError
+from ryepier.sidecar.request_reader import MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestReader
+from ryepier.sidecar.upstream_connection import ResponseReader, ResponseTooLongError
+from tests.limited_sidecar import DESCRIPTOR_LIMIT, LimitedSidecar, limited_sidecar
+from tests.loopback_ports import free_port
+from tests.network_peers import OK, Upstream, request, respond_in_turn, run_async, sidecar, status_of
+
+STRANGER_COUNT = DESCRIPTOR_LIMIT // 3  # strangers may hold a third of the descriptors
+ERROR_LIMIT_S = 3.0  # a stranger is owed an error or a close within this time of connecting
+READ_BYTES = 256 * 1024  # the most bytes that asyncio reads from a socket at a time
+SHORT_LINE = b"ab:c\r\n"
+LONG_CHUNK = b"1;" + b"n" * 100 + b"\r\nx\r\n"  # a byte with a long chunk extension
+HEAD_START = b"POST /pay HTTP/1.1\r\nHost: api.internal\r\n"
+
+
+def request_with_short_lines(byte_count: int) -> bytes:
+    """Return a complete request whose head has `byte_count` bytes of short header lines."""
+    return request("pay", extra=(SHORT_LINE * (byte_count // len(SHORT_LINE))).decode(), body=b"x")
+
+
+def partial_request(head_bytes: int) -> bytes:
+    """Return a request of the longest body without its last byte; its head has one header of `head_bytes`."""
+    return request("pay", extra=f"X-Note: {'x' * head_bytes}\r\n", body=b"x" * MAX_BODY_BYTES)[:-1]
+
+
+STRANGER_INPUT = {
+    "short lines": HEAD_START + SHORT_LINE * (READ_BYTES // len(SHORT_LINE)),
+    "short lines within the limit of a head": HEAD_START + SHORT_LINE * (15_000 // len(SHORT_LINE)),
+    "complete head of short lines": request_with_short_lines(120_000),
+    "long header": HEAD_START + b"X-Note: " + b"x" * READ_BYTES,
+    "long target": b"POST /" + b"x" * READ_BYTES,
+    "longest body": partial_request(15_000),
+    "body over the limit": request("pay", body=b"x" * READ_BYTES),
+    "long header after a complete request": request("pay") + HEAD_START + b"X-Note: " + b"x" * READ_BYTES,
+}
+
+
+async def be_stranger(sidecar: LimitedSidecar, data: bytes) -> float:
+    """Send bytes and stay until the end of the time for an error; return the seconds until the first answer."""
+    connected_at = time.monotonic()
+    reader, writer = await sidecar.connect()
+    writer.write(data)
+    with contextlib.suppress(ConnectionError):  # a close is an answer, too
+        await reader.read(1)
+    answered_after_s = time.monotonic() - connected_at
+    await asyncio.sleep(ERROR_LIMIT_S - answered_after_s)
+    writer.close()
+    return answered_after_s
+
+
+# Guards against the kill for memory: 64 peers with long heads of short lines needed more than the deployment's memory.
+@pytest.mark.alone
+@pytest.mark.parametrize("data", STRANGER_INPUT.values(), ids=STRANGER_INPUT.keys())
+def test_strangers_do_not_raise_the_memory_over_the_smallest_limit(data: bytes, tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = Upstream(respond_in_turn(OK))
+        async with limited_sidecar(tmp_path, upstream, free_port()) as sidecar:  # checks memory and descriptors
+            strangers = [asyncio.create_task(be_stranger(sidecar, data)) for _ in range(STRANGER_COUNT)]
+            for _ in range(20):
+                assert b" 200 " in await sidecar.fetch()
+                await asyncio.sleep(0.1)
+            assert max(await asyncio.gather(*strangers)) < ERROR_LIMIT_S
+        assert max(len(head) for head, _ in upstream.requests) < MAX_HEAD_BYTES
+
+    run_async(test)
+
+
+# Guards against limits that depend on how the bytes arrive: a long head in one read was accepted and forwarded.
+@pytest.mark.parametrize("data", [request_with_short_lines(MAX_HEAD_BYTES), request("pay", extra="a:b\r\n" * 150)])
+@pytest.mark.parametrize("part_bytes", [1, 1000, READ_BYTES])
+def test_head_over_a_limit_is_rejected_however_it_arrives(data: bytes, part_bytes: int) -> None:
+    reader = RequestReader()
+
+    def feed_in_parts() -> None:
+        for start in range(0, len(data), part_bytes):
+            reader.feed(data[start : start + part_bytes])
+
+    with pytest.raises(RequestError) as error:
+        feed_in_parts()
+    assert error.value.status == 431 and not reader.is_complete
+
+
+# Guards against memory that outlives a rejection: collected parts, and the read bytes in a cycle with the error.
+@pytest.mark.parametrize("data", STRANGER_INPUT.values(), ids=STRANGER_INPUT.keys())
+def test_released_reader_keeps_nothing_of_its_input(data: bytes) -> None:
+    def feed_and_release() -> RequestReader:
+        reader = RequestReader()
+        with contextlib.suppress(RequestError):
+            reader.feed(data[:READ_BYTES])
+        reader.release()
+        return reader
+
+    feed_and_release()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        readers = [feed_and_release() for _ in range(20)]
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert kept_bytes / len(readers) < 1024
+
+
+# Guards against limits on responses that hold only for what comes in several reads.
+@pytest.mark.parametrize("part_bytes", [1000, READ_BYTES])
+@pytest.mark.parametrize(
+    "response",
+    [
+        OK.replace(b"\r\n", b"\r\nContent-Type: " + b"x" * 40_000 + b"\r\n", 1),
+        OK.replace(b"\r\n", b"\r\n" + SHORT_LINE * 7_000, 1),
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000 + OK,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"1;%b\r\nx\r\n" % (b"n" * 100) * 3_000
+        + b"0\r\n\r\n",
+    ],
+    ids=["long header", "short lines", "interim responses", "chunk extensions"],
+)
+def test_response_over_a_limit_is_rejected_however_it_arrives(response: bytes, part_bytes: int) -> None:
+    reader = ResponseReader()
+
+    def feed_in_parts() -> None:
+        for start in range(0, len(response), part_bytes):
+            reader.feed(response[start : start + part_bytes])
+
+    with pytest.raises(ResponseTooLongError):
+        feed_in_parts()
+    assert not reader.is_complete
+
+
+def test_response_over_a_limit_is_not_forwarded() -> None:
+    async def test() -> None:
+        upstream = Upstream(respond_in_turn(OK.replace(b"\r\n", b"\r\nContent-Type: " + b"x" * 40_000 + b"\r\n", 1)))
+        async with sidecar(upstream) as running_sidecar:
+            assert status_of(await running_sidecar.fetch(request("pay"))) == 500
+
+    run_async(test)
