--- a/ryepier/emulator/client_connection.py
+++ b/ryepier/emulator/client_connection.py
@@ -76,6 +76,8 @@
         self._retry_after_us = 0
         self._body = b""
         self._message_complete = self._keep_alive = False
+        self._status = 0
+        self._has_second_response = False  # another response began in the same read
         self._response_started = False
 
     # asyncio's callbacks
@@ -117,26 +119,37 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store the value of Retry-After; other headers are ignored."""
+        if self._message_complete:
+            return
         if name.lower() == b"retry-after":
             self._retry_after_us = int(float(value) * 1e6)
 
     def on_body(self, data: bytes) -> None:
         """Collect the body."""
-        self._body += data
+        if not self._message_complete:
+            self._body += data
+
+    def on_message_begin(self) -> None:
+        """Record that another response follows the complete one."""
+        self._has_second_response = self._message_complete
 
     def on_message_complete(self) -> None:
-        """Record whether the connection can be reused, which the parser knows only at the end of a message."""
+        """Record the status and whether the connection can be reused, which the parser knows only at this point."""
+        if self._message_complete:
+            return
         self._message_complete = True
+        self._status = self._parser.get_status_code()
         self._keep_alive = self._parser.should_keep_alive()
 
     def _complete_response(self) -> None:
         """Return the connection to the pool or close it, and pass the response to the request."""
         request = self.request
         assert request is not None
-        response = Response(self._parser.get_status_code(), self._retry_after_us, self._body)
-        is_reusable = self._keep_alive and not request.closes_connection
+        response = Response(self._status, self._retry_after_us, self._body)
+        is_reusable = self._keep_alive and not request.closes_connection and not self._has_second_response
         self.request = None
         self.last_attempt = request.attempt
+        self.last_attempt.trailing_bytes += self._has_second_response  # at least one; their number is not known
         self._response_count += 1
         self._reset_parser()
         if is_reusable:
--- a/ryepier/emulator/converter_connection.py
+++ b/ryepier/emulator/converter_connection.py
@@ -78,10 +78,10 @@
         self.last_data_us = 0
         self.is_partitioned = False  # a zone partition dropped a request or response on this connection
         self.record = ConnectionRecord(owner.uid, NEVER)
-        self._reset_parser()
-
-    def _reset_parser(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
+        self._reset_request()
+
+    def _reset_request(self) -> None:
         self._first_byte_us = NEVER
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
@@ -143,7 +143,7 @@
             return
         method, target = self._parser.get_method(), self._target
         request = ReceivedRequest(self._headers, self._body, self._first_byte_us)
-        self._reset_parser()
+        self._reset_request()
         if method == b"GET" and target in PROBE_TARGETS:
             self.owner.on_probe(self, target)
         elif b"x-request-id" not in request.headers:
--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -156,16 +156,15 @@
     def _accept_request(self) -> None:
         """Hand the complete request to the dispatcher. Raises RequestError if it is not acceptable."""
         reader = self.reader
-        assert self.transport is not None and reader.parser is not None
-        method = reader.parser.get_method()
-        if reader.parser.get_http_version() not in SUPPORTED_HTTP_VERSIONS:
+        assert self.transport is not None
+        if reader.http_version not in SUPPORTED_HTTP_VERSIONS:
             raise RequestError(400, "not HTTP/1.1")
-        if not reader.parser.should_keep_alive():
+        if not reader.keeps_alive:
             self.closes_after_response = True
-        if reader.target == READINESS_PATH and method == b"GET":
+        if reader.target == READINESS_PATH and reader.method == b"GET":
             self.write(Response(200 if self.server.is_ready else 503))
             return
-        request = self.server.dialect.parse(method, reader.target, reader.headers, bytes(reader.body))
+        request = self.server.dialect.parse(reader.method, reader.target, reader.headers, bytes(reader.body))
         if not self.server.recent_ids.add(request.request_id):
             # An upstream that is working on the same id would reject this request, and the response to one client's
             # request might reach the other client.
--- a/ryepier/sidecar/endpoint_watch.py
+++ b/ryepier/sidecar/endpoint_watch.py
@@ -93,6 +93,8 @@
 
     def on_headers_complete(self) -> None:
         """Fail on any status but 200, as the body of such a response has no list and may be endless."""
+        if self.state is WatchState.FAILED:  # these bytes follow the end of the response
+            return
         status = self.parser.get_status_code()
         if status != http.HTTPStatus.OK:
             log.info("endpoint watch rejected with status %d", status)
@@ -100,7 +102,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Apply the messages that these bytes complete."""
-        if self.parser.get_status_code() != http.HTTPStatus.OK:
+        if self.state is WatchState.FAILED:
             return
         for message in self.decoder.feed(data):
             self.state = WatchState.STREAMING
--- a/ryepier/sidecar/request_reader.py
+++ b/ryepier/sidecar/request_reader.py
@@ -32,7 +32,10 @@
         "has_pipelined_bytes",
         "head_complete",
         "headers",
+        "http_version",
         "is_complete",
+        "keeps_alive",
+        "method",
         "parser",
         "received_bytes",
         "target",
@@ -45,6 +48,9 @@
         self.has_pipelined_bytes = False  # bytes have arrived after the end of the request
         self.head_complete = False
         self.chunked = False
+        self.method = b""
+        self.http_version = ""
+        self.keeps_alive = True  # the client wants to keep the connection after this request
         self.target = b""
         self.headers: list[Header] = []
         self.received_bytes = 0
@@ -127,13 +133,19 @@
             self._add_header(name, value)
 
     def on_headers_complete(self) -> None:
-        """Record the end of the head. Raises RequestError for a chunked body in HTTP/1.0."""
+        """Store what the parser knows of the head. Raises RequestError for a chunked body in HTTP/1.0.
+
+        The parser has to be asked here: once it has parsed the start of a further request, it describes that one.
+        """
         assert self.parser is not None
         if self.is_complete:
             return
+        self.method = self.parser.get_method()
+        self.http_version = self.parser.get_http_version()
+        self.keeps_alive = self.parser.should_keep_alive()
         # An HTTP/1.0 proxy in front of this server ignores the transfer coding and goes by Content-Length. The proxy
         # and the sidecar would then disagree about where the next request begins.
-        if self.chunked and self.parser.get_http_version() != "1.1":
+        if self.chunked and self.http_version != "1.1":
             raise RequestError(400, "a transfer coding, but not HTTP/1.1")
         self.head_complete = True
 
--- a/ryepier/slices/api_client.py
+++ b/ryepier/slices/api_client.py
@@ -161,20 +161,26 @@
             self.parser.feed_data(data)
         # HttpParserError also wraps the errors that the callbacks below raise
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.failure = error
+            if not self.is_complete:
+                self.failure = error
             self.finish()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store the value of Retry-After if it is a number of seconds; a date is ignored."""
+        if self.is_complete:
+            return
         if name.lower() == b"retry-after" and value.strip().isdigit():
             self.retry_after_s = int(value)
 
     def on_headers_complete(self) -> None:
-        """Store the status code."""
-        self.status = self.parser.get_status_code()
+        """Store the status code. Bytes after the response may form another message, which is ignored."""
+        if not self.is_complete:
+            self.status = self.parser.get_status_code()
 
     def on_body(self, data: bytes) -> None:
         """Append part of the body, and pass on the complete lines of a watch."""
+        if self.is_complete:
+            return
         self.body += data
         if self.status != 200:
             if len(self.body) > MAX_ERROR_BYTES:
