Refuse any further request of a client that does not read its answers

Cause: the check for unread answers stood after the readiness check and the dialect, so answers to GET /up and errors that keep the connection could pile up in the write buffer without a limit. Change: the check comes first for each complete request; such a client gets 400 and its connection closes. Measured: the new test for GET /up failed before and passes; the one for a converter's request passed before, too.

--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -157,6 +157,8 @@
         """Hand the complete request to the dispatcher. Raises RequestError if it is not acceptable."""
         reader = self.reader
         assert self.transport is not None
+        if not self.is_flushed:  # responses that the client does not read would fill the memory
+            raise RequestError(400, "the last answer was not read")
         if reader.http_version not in SUPPORTED_HTTP_VERSIONS:
             raise RequestError(400, "not HTTP/1.1")
         if not reader.keeps_alive:
@@ -169,8 +171,6 @@
             # An upstream that is working on the same id would reject this request, and the response to one client's
             # request might reach the other client.
             raise RequestError(409, "this X-Request-Id has been used")
-        if self.transport.get_write_buffer_size() > 0:  # responses that the client does not read would fill the memory
-            raise RequestError(400, "the last answer was not read")
         reader.release()
         self.request = request
         self.server.change_state(self, ClientState.PROCESSING)
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -11,12 +11,14 @@
 
 import pytest
 
+from ryepier.sidecar.client_connection import ClientState
 from ryepier.sidecar.request_parsing import RequestError
 from ryepier.sidecar.request_reader import MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestReader
 from ryepier.sidecar.upstream_connection import ResponseReader, ResponseTooLongError
 from tests.limited_sidecar import DESCRIPTOR_LIMIT, LimitedSidecar, limited_sidecar
 from tests.loopback_ports import free_port
-from tests.network_peers import OK, Upstream, request, respond_in_turn, run_async, sidecar, status_of
+from tests.network_peers import OK, Upstream, read_message, request, respond_in_turn, run_async, sidecar, status_of
+from tests.sidecar_probes import record_servers
 
 STRANGER_COUNT = DESCRIPTOR_LIMIT // 3  # strangers may hold a third of the descriptors
 ERROR_LIMIT_S = 3.0  # a stranger is owed an error or a close within this time of connecting
@@ -148,3 +150,23 @@
             assert status_of(await running_sidecar.fetch(request("pay"))) == 500
 
     run_async(test)
+
+
+# Guards against answers that pile up: only requests for converters were refused while an answer was unread.
+@pytest.mark.parametrize("data", [b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n", request("pay")])
+def test_client_that_does_not_read_gets_no_further_answers(data: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    servers = record_servers(monkeypatch)
+
+    async def test() -> None:
+        async with sidecar(Upstream(respond_in_turn(OK))) as running_sidecar:
+            reader, writer = await running_sidecar.connect()
+            writer.write(request("pay"))
+            assert status_of(await read_message(reader)) == 200
+            [client] = servers[0].clients_by_state[ClientState.IDLE]
+            monkeypatch.setattr(client.transport, "get_write_buffer_size", lambda: 1)
+            writer.write(data)
+            response = await reader.read()
+            assert response.startswith(b"HTTP/1.1 400 ") and b"Connection: close" in response
+            writer.close()
+
+    run_async(test)
