Limit the memory that all requests of a sidecar hold together

Cause: connections were limited by descriptors alone, and limits.memory_mb was not read. With 32 MB and 1,024 descriptors a third of the connections could hold 27 MB of partial requests, each within its own limits. Change: RequestBuffers adds up what partial and open requests hold; above an eighth of the memory the largest partial ones get 503.

--- a/ryepier/fronts/graphql.py
+++ b/ryepier/fronts/graphql.py
@@ -14,6 +14,7 @@
 from ryepier.sidecar.components import FrontEnd
 from ryepier.sidecar.config import Config, parse_address
 from ryepier.sidecar.dispatcher import RequestDispatcher
+from ryepier.sidecar.request_buffers import max_buffered_bytes
 from ryepier.sidecar.request_parsing import (
     HOP_BY_HOP_HEADERS,
     IDENTIFIER_PATTERN,
@@ -27,7 +28,7 @@
     retry_after_line,
     stable_hash,
 )
-from ryepier.sidecar.requests import ClientRequest, FinalAnswer, FinalOutcome, Header
+from ryepier.sidecar.requests import Address, ClientRequest, FinalAnswer, FinalOutcome, Header
 from ryepier.sidecar.server import Server
 from ryepier.sidecar.system import clock_us
 
@@ -262,6 +263,19 @@
             readers.append(RequestReader(make_classification_table(settings, config.settings), settings.max_batch_size))
         return GraphqlDialect(config.settings, readers[0])
 
+    def make_server(config: Config, dispatcher: RequestDispatcher, address: Address, dialect: Dialect) -> FrontEnd:
+        """Return a server with an equal share of what all front ends may use: half of the descriptors, and the memory
+        for requests."""
+        front_end_count = 2 if settings.listen else 1
+        return Server(
+            dispatcher,
+            config.settings,
+            address,
+            config.max_descriptors // 2 // front_end_count,
+            max_buffered_bytes(config.memory_mb) // front_end_count,
+            dialect,
+        )
+
     def make_shared_front_end(config: Config, dispatcher: RequestDispatcher) -> FrontEnd:
         platform_dialect = PlatformDialect(config.settings)
         dialect = (
@@ -269,23 +283,9 @@
             if settings.path
             else platform_dialect
         )
-        return Server(dispatcher, config.settings, config.listen, max_clients_per_front_end(config, settings), dialect)
+        return make_server(config, dispatcher, config.listen, dialect)
 
     def make_graphql_front_end(config: Config, dispatcher: RequestDispatcher) -> FrontEnd:
-        return Server(
-            dispatcher,
-            config.settings,
-            parse_address(settings.listen),
-            max_clients_per_front_end(config, settings),
-            make_dialect(config),
-        )
+        return make_server(config, dispatcher, parse_address(settings.listen), make_dialect(config))
 
     return (make_shared_front_end, make_graphql_front_end) if settings.listen else (make_shared_front_end,)
-
-
-def max_clients_per_front_end(config: Config, settings: conf.GraphqlSettings) -> int:
-    """Return the maximum number of client connections per front end.
-
-    All front ends together may use half of the process's file descriptors, and each gets an equal share.
-    """
-    return config.max_descriptors // (4 if settings.listen else 2)
--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -73,6 +73,12 @@
     def change_state(self, client: ClientConnection, state: ClientState) -> None:
         """Set a connection's state and restart its state timeout. Does nothing if the connection was removed."""
 
+    def hold_request(self, client: ClientConnection) -> bool:
+        """Account for the memory of the connection's request; return False if it was rejected to save memory."""
+
+    def release_request(self, client: ClientConnection) -> None:
+        """Record that the connection's request needs no more memory."""
+
     def remove(self, client: ClientConnection) -> None:
         """Stop tracking a connection; its later state changes are ignored."""
 
@@ -124,7 +130,7 @@
         try:
             self.reader.feed(data)
             self.has_pipelined_bytes = self.reader.has_pipelined_bytes
-            if self.reader.is_complete:
+            if self.server.hold_request(self) and self.reader.is_complete:
                 self._accept_request()
         except RequestError as error:
             self._log_rejection(error.status, str(error))
@@ -205,9 +211,9 @@
         if self.state is ClientState.PROCESSING and self.request is not None:
             self.write(self.server.dialect.render(self.request, answer))
 
-    def reject_partial(self) -> None:
+    def reject_partial(self, reason: str) -> None:
         """Reject a request that has arrived only in part, and close the connection."""
-        self._log_rejection(503, "its rest is not awaited")
+        self._log_rejection(503, reason)
         self.write(Response(503, b"", retry_after_line(self.server.partial_retry_after_us)), last=True)
 
     def write(self, response: Response, last: bool = False) -> None:
@@ -228,6 +234,7 @@
             data += PIPELINING_REJECTION
         self.transport.write(data)
         self.reader.release()
+        self.server.release_request(self)
         self.request = None
         if last or self.has_pipelined_bytes:
             # Closing a socket with unread bytes resets the connection, and the client might lose its response. So only
--- a/ryepier/sidecar/components.py
+++ b/ryepier/sidecar/components.py
@@ -13,6 +13,7 @@
 from ryepier.sidecar.discovery import DiscoveryClient
 from ryepier.sidecar.dispatcher import RequestDispatcher
 from ryepier.sidecar.endpoint_registry import EndpointRegistry
+from ryepier.sidecar.request_buffers import max_buffered_bytes
 from ryepier.sidecar.server import Server
 
 
@@ -91,7 +92,13 @@
     """Create the front end that accepts HTTP/1.1 requests in the platform's protocol."""
     # Half of the descriptors are for clients and 3/8 for connections to upstreams. The remaining 1/8 are for discovery,
     # the listener, the log and connections that are being closed.
-    return Server(dispatcher, config.settings, config.listen, max_clients=config.max_descriptors // 2)
+    return Server(
+        dispatcher,
+        config.settings,
+        config.listen,
+        max_clients=config.max_descriptors // 2,
+        max_buffered_bytes=max_buffered_bytes(config.memory_mb),
+    )
 
 
 PLATFORM_COMPONENTS = Components(discovery_source, (http_front_end,))
--- a/ryepier/sidecar/config.py
+++ b/ryepier/sidecar/config.py
@@ -13,6 +13,8 @@
 
 T = TypeVar("T")
 
+MIN_MEMORY_MB = 32  # the smallest limit on memory that the platform sets
+
 
 @dataclass(slots=True)
 class Config:
@@ -28,6 +30,7 @@
     upstream_idle_timeout_us: int  # upstreams close a connection that has been idle for this long
     cached_list: Any  # the last known endpoint list, in the format of discovery's messages; None if there is none
     name: str = ""  # identifies the sidecar across restarts
+    memory_mb: int = MIN_MEMORY_MB  # the platform ends a process that takes more
     path: str = ""  # path of the configuration file, which is read again on SIGHUP
 
 
@@ -55,6 +58,14 @@
     return host, int(port)
 
 
+def parse_memory(value: Any) -> int:
+    """Return a limit on memory in whole MiB. Raises ValueError or TypeError if it is not a positive number."""
+    memory_mb = int(value)
+    if memory_mb <= 0:
+        raise ValueError(f"expected a positive number, got {value!r}")
+    return memory_mb
+
+
 def read_value(raw: Any, path: str, convert: Callable[[Any], T]) -> T:
     """Return the value at a dotted path, converted by `convert`. Raises ValueError with the path in its message."""
     value = raw
@@ -92,5 +103,6 @@
         ),
         cached_list=raw.get("known"),
         name=str(raw.get("name", "")),
+        memory_mb=read_value(raw, "limits.memory_mb", parse_memory) if "memory_mb" in raw["limits"] else MIN_MEMORY_MB,
         path=path,
     )
--- a/ryepier/sidecar/request_reader.py
+++ b/ryepier/sidecar/request_reader.py
@@ -10,7 +10,8 @@
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
-MAX_HEADER_COUNT = 100  # a stored header takes some 150 bytes, however short its line is
+MAX_HEADER_COUNT = 100
+HEADER_OVERHEAD_BYTES = 150  # memory of a stored header in addition to its name and value
 MAX_CHUNKED_BYTES = 8 * MAX_BODY_BYTES  # limit of a chunked message with its framing: a one-byte chunk takes six bytes
 
 
@@ -31,6 +32,7 @@
         "chunked",
         "has_pipelined_bytes",
         "head_complete",
+        "header_bytes",
         "headers",
         "http_version",
         "is_complete",
@@ -53,6 +55,7 @@
         self.keeps_alive = True  # the client wants to keep the connection after this request
         self.target = b""
         self.headers: list[Header] = []
+        self.header_bytes = 0  # length of the names and values in `headers`
         self.received_bytes = 0
         self.body = bytearray()
 
@@ -61,6 +64,12 @@
         """Whether a request has arrived in part but not completely."""
         return self.received_bytes > 0 and not self.is_complete
 
+    @property
+    def held_bytes(self) -> int:
+        """Approximate memory of what was collected."""
+        head_bytes = self.header_bytes + len(self.target) if self.head_complete else self.received_bytes
+        return head_bytes + HEADER_OVERHEAD_BYTES * len(self.headers) + len(self.body)
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes. Raises RequestError if they are malformed or the request is too long."""
         for segment in split_into_segments(data, self._bytes_until_limit):
@@ -114,6 +123,7 @@
         if lower_name == b"content-length" and int(value) > MAX_BODY_BYTES:
             raise RequestError(413, "the body is too long")
         self.headers.append((name, value))
+        self.header_bytes += len(name) + len(value)
 
     # Callbacks of the HTTP parser
 
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -13,6 +13,7 @@
 from ryepier.sidecar import system
 from ryepier.sidecar.client_connection import STATE_TIMEOUTS_S, ClientConnection, ClientState
 from ryepier.sidecar.dispatcher import RequestDispatcher
+from ryepier.sidecar.request_buffers import RequestBuffers
 from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.request_parsing import Dialect, PlatformDialect
 from ryepier.sidecar.requests import Address
@@ -27,6 +28,9 @@
 PARTIAL_RETRY_AFTER_US = 250_000  # Retry-After of rejected partial requests, whose class may be unknown yet
 
 
+READING_STATES = (ClientState.NEW, ClientState.READING)  # a request may have arrived in part
+
+
 class EvictionRule(NamedTuple):
     """Describes the connections that may be evicted to make room for a new one."""
 
@@ -56,9 +60,13 @@
         settings: Settings,
         address: Address,
         max_clients: int,
+        max_buffered_bytes: int,
         dialect: Dialect | None = None,
     ) -> None:
-        """Prepare a server for up to `max_clients` connections; it serves at `address` once `listen` is called."""
+        """Prepare a server for up to `max_clients` connections; it serves at `address` once `listen` is called.
+
+        Requests that have arrived in part or are open may take up to `max_buffered_bytes` of memory together.
+        """
         self.loop = asyncio.get_running_loop()
         self.dispatcher = dispatcher
         self.address = address
@@ -69,6 +77,7 @@
         self.partial_retry_after_us = min(PARTIAL_RETRY_AFTER_US, max_retry_after_us)
         # Each group is in the order in which its connections entered the state, so the oldest one comes first.
         self.clients_by_state: dict[ClientState, dict[ClientConnection, None]] = {state: {} for state in ClientState}
+        self.request_buffers = RequestBuffers[ClientConnection](max_buffered_bytes)
         self.connection_start_tasks: set[asyncio.Task[object]] = set()
         self.is_stopping = False
         self.sock: socket.socket | None = None
@@ -158,7 +167,7 @@
             candidates = self.evictable(rule, now - rule.min_inactive_s)
             if rule.partial:
                 for client in list(itertools.islice(candidates, ACCEPT_BATCH_SIZE)):
-                    client.reject_partial()
+                    client.reject_partial("its connection is needed")
             elif (evicted := next(candidates, None)) is not None:
                 evicted.close()
                 self.remove(evicted)
@@ -186,8 +195,29 @@
             client.state, client.state_since = state, system.monotonic()
             self.clients_by_state[state][client] = None
 
+    def hold_request(self, client: ClientConnection) -> bool:
+        """Account for the memory of a connection's request; return False if it was rejected to save memory.
+
+        Above the limit the largest partial requests are rejected: they have not begun, and a client that sends slowly
+        holds little. Open requests are never given up.
+        """
+        buffers = self.request_buffers
+        buffers.set_held(client, client.reader.held_bytes)
+        while buffers.is_over_limit:
+            largest = buffers.largest_of(itertools.chain(*(self.clients_by_state[state] for state in READING_STATES)))
+            if largest is None:
+                break
+            largest.reject_partial("requests take too much memory")
+            buffers.release(largest)  # also if its connection is closing and nothing more is written
+        return client in buffers.bytes_by_client
+
+    def release_request(self, client: ClientConnection) -> None:
+        """Record that a connection's request needs no more memory."""
+        self.request_buffers.release(client)
+
     def remove(self, client: ClientConnection) -> None:
         """Stop tracking a connection."""
+        self.request_buffers.release(client)
         self.clients_by_state[client.state].pop(client, None)
 
     def sweep(self) -> None:
@@ -234,7 +264,7 @@
 
     def reject_partial_requests(self) -> None:
         """Reject partial requests, as the rest of them may arrive too late for the shutdown."""
-        for state in (ClientState.NEW, ClientState.READING):
+        for state in READING_STATES:
             for client in list(self.clients_by_state[state]):
                 if client.transport is not None:
-                    client.reject_partial()
+                    client.reject_partial("the sidecar shuts down")
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -17,10 +17,21 @@
 from ryepier.sidecar.upstream_connection import ResponseReader, ResponseTooLongError
 from tests.limited_sidecar import DESCRIPTOR_LIMIT, LimitedSidecar, limited_sidecar
 from tests.loopback_ports import free_port
-from tests.network_peers import OK, Upstream, read_message, request, respond_in_turn, run_async, sidecar, status_of
+from tests.network_peers import (
+    OK,
+    Upstream,
+    read_message,
+    request,
+    respond_after,
+    respond_in_turn,
+    run_async,
+    sidecar,
+    status_of,
+    wait_until,
+)
 from tests.sidecar_probes import record_servers
 
-STRANGER_COUNT = DESCRIPTOR_LIMIT // 3  # strangers may hold a third of the descriptors
+MAX_DESCRIPTOR_LIMIT = 1024  # the largest limit that the platform sets, with any limit on memory
 ERROR_LIMIT_S = 3.0  # a stranger is owed an error or a close within this time of connecting
 READ_BYTES = 256 * 1024  # the most bytes that asyncio reads from a socket at a time
 SHORT_LINE = b"ab:c\r\n"
@@ -63,14 +74,27 @@
     return answered_after_s
 
 
-# Guards against the kill for memory: 64 peers with long heads of short lines needed more than the deployment's memory.
+# Guards against the kill for memory: 64 peers with long heads of short lines needed more than the deployment's memory,
+# and 341 partial bodies, each within its limit, too.
 @pytest.mark.alone
-@pytest.mark.parametrize("data", STRANGER_INPUT.values(), ids=STRANGER_INPUT.keys())
-def test_strangers_do_not_raise_the_memory_over_the_smallest_limit(data: bytes, tmp_path: Path) -> None:
+@pytest.mark.parametrize(
+    ("kind", "descriptor_limit"),
+    [
+        *((kind, DESCRIPTOR_LIMIT) for kind in STRANGER_INPUT),
+        ("longest body", MAX_DESCRIPTOR_LIMIT),
+        ("short lines", MAX_DESCRIPTOR_LIMIT),
+    ],
+)
+def test_strangers_do_not_raise_the_memory_over_the_smallest_limit(
+    kind: str, descriptor_limit: int, tmp_path: Path
+) -> None:
     async def test() -> None:
         upstream = Upstream(respond_in_turn(OK))
-        async with limited_sidecar(tmp_path, upstream, free_port()) as sidecar:  # checks memory and descriptors
-            strangers = [asyncio.create_task(be_stranger(sidecar, data)) for _ in range(STRANGER_COUNT)]
+        async with limited_sidecar(tmp_path, upstream, free_port(), descriptor_limit) as sidecar:  # checks the limits
+            # strangers may hold a third of the descriptors
+            strangers = [
+                asyncio.create_task(be_stranger(sidecar, STRANGER_INPUT[kind])) for _ in range(descriptor_limit // 3)
+            ]
             for _ in range(20):
                 assert b" 200 " in await sidecar.fetch()
                 await asyncio.sleep(0.1)
@@ -170,3 +194,52 @@
             writer.close()
 
     run_async(test)
+
+
+# Guards against partial requests that fill the memory together, though each is within its limits.
+def test_the_largest_partial_requests_are_rejected_when_all_together_take_too_much(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    servers = record_servers(monkeypatch)
+
+    async def test() -> None:
+        async with sidecar(Upstream(respond_in_turn(OK))) as running_sidecar:
+            [server] = servers
+            server.request_buffers.max_bytes = 200_000
+            slow_reader, slow_writer = await running_sidecar.connect()
+            slow_request = request("pay", body=b"x" * 1_000)
+            slow_writer.write(slow_request[:-1])
+            strangers = [await running_sidecar.connect() for _ in range(8)]
+            for _, writer in strangers:
+                writer.write(partial_request(100))
+            rejections = [await reader.read(12) for reader, _ in strangers[:5]]
+            assert set(rejections) <= {b"HTTP/1.1 503"}
+            assert 0 < server.request_buffers.total_bytes <= 200_000
+            slow_writer.write(slow_request[-1:])
+            assert status_of(await read_message(slow_reader)) == 200
+            for _, writer in [(slow_reader, slow_writer), *strangers]:
+                writer.close()
+            await wait_until(lambda: server.request_buffers.total_bytes == 0)
+            assert not server.request_buffers.bytes_by_client
+
+    run_async(test)
+
+
+def test_open_requests_count_until_they_are_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    servers, release = record_servers(monkeypatch), asyncio.Event()
+
+    async def test() -> None:
+        upstream = Upstream(respond_after(release))
+        async with sidecar(upstream) as running_sidecar:
+            [server] = servers
+            server.request_buffers.max_bytes = 100_000
+            reader, writer = await running_sidecar.connect()
+            writer.write(request("pay", body=b"x" * 50_000))
+            await wait_until(lambda: len(upstream.requests) == 1)
+            assert status_of(await running_sidecar.fetch(request("pay", body=b"x" * 60_000))) == 503
+            release.set()
+            assert status_of(await read_message(reader)) == 200
+            assert status_of(await running_sidecar.fetch(request("pay", body=b"x" * 60_000))) == 200
+            writer.close()
+
+    run_async(test)
--- a/tests/test_sidecar_components.py
+++ b/tests/test_sidecar_components.py
@@ -57,7 +57,7 @@
 
         def make_front_end(config: Config, dispatcher: RequestDispatcher) -> components.FrontEnd:
             dispatchers.append(dispatcher)
-            return Server(dispatcher, config.settings, ("127.0.0.1", second_port), 10)
+            return Server(dispatcher, config.settings, ("127.0.0.1", second_port), 10, 100_000)
 
         stop, reload = asyncio.Event(), asyncio.Event()
         task = asyncio.create_task(
