Limit the head of the responses of discovery and of the API server

Cause: the readers of a watch and of calls to the API server had limits on bodies and lines, none on a head; a header without an end was collected by the parser until a time limit ended the call. Change: a head of over 64 KB ends the call as malformed. Names of the request buffers say what is counted, and the GraphQL front end's server is made by a function of its own.

--- a/ryepier/fronts/graphql.py
+++ b/ryepier/fronts/graphql.py
@@ -248,6 +248,23 @@
         return self.select_dialect(target).render_error(target, error)
 
 
+def make_server(
+    config: Config, dispatcher: RequestDispatcher, address: Address, dialect: Dialect, front_end_count: int
+) -> Server:
+    """Return the server of one of `front_end_count` front ends.
+
+    All front ends together may use half of the descriptors and the memory for requests; each gets an equal share.
+    """
+    return Server(
+        dispatcher,
+        config.settings,
+        address,
+        config.max_descriptors // 2 // front_end_count,
+        max_buffered_bytes(config.memory_mb) // front_end_count,
+        dialect,
+    )
+
+
 def make_front_end_factories(
     settings: conf.GraphqlSettings,
 ) -> Sequence[Callable[[Config, RequestDispatcher], FrontEnd]]:
@@ -257,25 +274,13 @@
     one makes a front end for GraphQL only. The dialects of both share one `RequestReader`, and thus its caches.
     """
     readers: list[RequestReader] = []
+    front_end_count = 2 if settings.listen else 1
 
     def make_dialect(config: Config) -> GraphqlDialect:
         if not readers:
             readers.append(RequestReader(make_classification_table(settings, config.settings), settings.max_batch_size))
         return GraphqlDialect(config.settings, readers[0])
 
-    def make_server(config: Config, dispatcher: RequestDispatcher, address: Address, dialect: Dialect) -> FrontEnd:
-        """Return a server with an equal share of what all front ends may use: half of the descriptors, and the memory
-        for requests."""
-        front_end_count = 2 if settings.listen else 1
-        return Server(
-            dispatcher,
-            config.settings,
-            address,
-            config.max_descriptors // 2 // front_end_count,
-            max_buffered_bytes(config.memory_mb) // front_end_count,
-            dialect,
-        )
-
     def make_shared_front_end(config: Config, dispatcher: RequestDispatcher) -> FrontEnd:
         platform_dialect = PlatformDialect(config.settings)
         dialect = (
@@ -283,9 +288,9 @@
             if settings.path
             else platform_dialect
         )
-        return make_server(config, dispatcher, config.listen, dialect)
+        return make_server(config, dispatcher, config.listen, dialect, front_end_count)
 
     def make_graphql_front_end(config: Config, dispatcher: RequestDispatcher) -> FrontEnd:
-        return make_server(config, dispatcher, parse_address(settings.listen), make_dialect(config))
+        return make_server(config, dispatcher, parse_address(settings.listen), make_dialect(config), front_end_count)
 
     return (make_shared_front_end, make_graphql_front_end) if settings.listen else (make_shared_front_end,)
--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -73,7 +73,7 @@
     def change_state(self, client: ClientConnection, state: ClientState) -> None:
         """Set a connection's state and restart its state timeout. Does nothing if the connection was removed."""
 
-    def hold_request(self, client: ClientConnection) -> bool:
+    def account_for_request(self, client: ClientConnection) -> bool:
         """Account for the memory of the connection's request; return False if it was rejected to save memory."""
 
     def release_request(self, client: ClientConnection) -> None:
@@ -130,7 +130,7 @@
         try:
             self.reader.feed(data)
             self.has_pipelined_bytes = self.reader.has_pipelined_bytes
-            if self.server.hold_request(self) and self.reader.is_complete:
+            if self.server.account_for_request(self) and self.reader.is_complete:
                 self._accept_request()
         except RequestError as error:
             self._log_rejection(error.status, str(error))
--- a/ryepier/sidecar/endpoint_watch.py
+++ b/ryepier/sidecar/endpoint_watch.py
@@ -16,6 +16,8 @@
 
 log = logging.getLogger(__name__)
 
+MAX_HEAD_BYTES = 64 * 1024  # checked after each read
+
 
 class WatchState(enum.Enum):
     """State of a watch: CONNECTING -> WAITING -> STREAMING; any state -> FAILED."""
@@ -64,6 +66,8 @@
         self.transport: asyncio.Transport | None = None
         self.decoder = JsonStreamDecoder()
         self.state = WatchState.CONNECTING
+        self.received_bytes = 0
+        self.head_complete = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the watch request, unless the watch was replaced meanwhile."""
@@ -85,9 +89,11 @@
         # The parser raises these errors also if a callback below fails. The last valid list stays in use, and a new
         # watch is opened.
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            log.warning("endpoint watch received malformed data: %r", error.__context__ or error)
-            self.client.on_malformed()
-            self.fail()
+            self.fail_as_malformed(error.__context__ or error)
+            return
+        self.received_bytes += len(data)
+        if not self.head_complete and self.received_bytes > MAX_HEAD_BYTES:
+            self.fail_as_malformed("the head is too long")
 
     # Callbacks of the HTTP parser
 
@@ -95,6 +101,7 @@
         """Fail on any status but 200, as the body of such a response has no list and may be endless."""
         if self.state is WatchState.FAILED:  # these bytes follow the end of the response
             return
+        self.head_complete = True
         status = self.parser.get_status_code()
         if status != http.HTTPStatus.OK:
             log.info("endpoint watch rejected with status %d", status)
@@ -123,6 +130,12 @@
         """Fail, as the connection is lost."""
         self.fail()
 
+    def fail_as_malformed(self, reason: BaseException | str) -> None:
+        """Log what is wrong with the received data, and fail."""
+        log.warning("endpoint watch received malformed data: %r", reason)
+        self.client.on_malformed()
+        self.fail()
+
     def fail(self) -> None:
         """Close the connection and notify the client that the watch has ended."""
         self.state = WatchState.FAILED
--- a/ryepier/sidecar/request_buffers.py
+++ b/ryepier/sidecar/request_buffers.py
@@ -17,7 +17,7 @@
 
 
 class RequestBuffers(Generic[Client]):
-    """The bytes that each client connection holds for its request, partial or open, and their sum."""
+    """The bytes that each client connection buffers for its request, partial or open, and their sum."""
 
     def __init__(self, max_bytes: int) -> None:
         """Start with no requests; `max_bytes` limits the sum."""
@@ -25,22 +25,22 @@
         self.total_bytes = 0
         self.bytes_by_client: dict[Client, int] = {}
 
-    def set_held(self, client: Client, byte_count: int) -> None:
-        """Set how many bytes a connection holds now."""
+    def set_buffered(self, client: Client, byte_count: int) -> None:
+        """Set how many bytes a connection buffers now."""
         self.release(client)
         self.bytes_by_client[client] = byte_count
         self.total_bytes += byte_count
 
     def release(self, client: Client) -> None:
-        """Record that a connection holds nothing any more."""
+        """Record that a connection buffers nothing any more."""
         self.total_bytes -= self.bytes_by_client.pop(client, 0)
 
     @property
     def is_over_limit(self) -> bool:
-        """Whether all requests together hold more than their limit."""
+        """Whether all requests together take more than their limit."""
         return self.total_bytes > self.max_bytes
 
     def largest_of(self, clients: Iterable[Client]) -> Client | None:
-        """Return the one of `clients` that holds the most bytes, or None if none of them holds any."""
-        holders = [client for client in clients if client in self.bytes_by_client]
-        return max(holders, key=self.bytes_by_client.__getitem__, default=None)
+        """Return the one of `clients` that buffers the most bytes, or None if none of them buffers any."""
+        candidates = [client for client in clients if client in self.bytes_by_client]
+        return max(candidates, key=self.bytes_by_client.__getitem__, default=None)
--- a/ryepier/sidecar/request_reader.py
+++ b/ryepier/sidecar/request_reader.py
@@ -65,7 +65,7 @@
         return self.received_bytes > 0 and not self.is_complete
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Approximate memory of what was collected."""
         head_bytes = self.header_bytes + len(self.target) if self.head_complete else self.received_bytes
         return head_bytes + HEADER_OVERHEAD_BYTES * len(self.headers) + len(self.body)
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -195,14 +195,14 @@
             client.state, client.state_since = state, system.monotonic()
             self.clients_by_state[state][client] = None
 
-    def hold_request(self, client: ClientConnection) -> bool:
+    def account_for_request(self, client: ClientConnection) -> bool:
         """Account for the memory of a connection's request; return False if it was rejected to save memory.
 
         Above the limit the largest partial requests are rejected: they have not begun, and a client that sends slowly
-        holds little. Open requests are never given up.
+        needs little. Open requests are never given up.
         """
         buffers = self.request_buffers
-        buffers.set_held(client, client.reader.held_bytes)
+        buffers.set_buffered(client, client.reader.buffered_bytes)
         while buffers.is_over_limit:
             largest = buffers.largest_of(itertools.chain(*(self.clients_by_state[state] for state in READING_STATES)))
             if largest is None:
--- a/ryepier/slices/api_client.py
+++ b/ryepier/slices/api_client.py
@@ -29,6 +29,7 @@
 WATCH_GRACE_S = 5.0  # a watch counts as hung after silence for its requested duration plus this time
 MAX_LINE_BYTES = 4 * 1024 * 1024  # a line holds one slice, which has at most 1,000 endpoints
 MAX_PAGE_BYTES = 32 * 1024 * 1024
+MAX_HEAD_BYTES = 64 * 1024  # checked after each read
 MAX_ERROR_BYTES = 64 * 1024  # limit on the body of an error response
 # TCP keep-alive: an unreachable host is detected after 11 s (idle time plus three probes)
 KEEPALIVE_IDLE_S = 5
@@ -137,6 +138,7 @@
         self.body = bytearray()
         self.status = 0
         self.retry_after_s: int | None = None
+        self.received_bytes = 0
         self.is_complete = False
         self.failure: Exception | None = None
         self.done_future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -164,6 +166,10 @@
             if not self.is_complete:
                 self.failure = error
             self.finish()
+        self.received_bytes += len(data)
+        if not self.status and self.received_bytes > MAX_HEAD_BYTES:
+            self.failure = self.failure or ValueError("response head exceeds the size limit")
+            self.finish()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store the value of Retry-After if it is a number of seconds; a date is ignored."""
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -15,10 +15,13 @@
 from ryepier.sidecar.request_parsing import RequestError
 from ryepier.sidecar.request_reader import MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestReader
 from ryepier.sidecar.upstream_connection import ResponseReader, ResponseTooLongError
+from ryepier.slices import api_client
+from ryepier.slices.reflector import CallKind
 from tests.limited_sidecar import DESCRIPTOR_LIMIT, LimitedSidecar, limited_sidecar
 from tests.loopback_ports import free_port
 from tests.network_peers import (
     OK,
+    Discovery,
     Upstream,
     read_message,
     request,
@@ -243,3 +246,37 @@
             writer.close()
 
     run_async(test)
+
+
+ENDLESS_HEAD_PARTS = [b"HTTP/1.1 200 OK\r\nX-Note: ", *[b"x" * 10_000] * 8]
+
+
+# Guards against a response of discovery or the API server whose head never ends and fills the memory.
+def test_endless_head_ends_the_endpoint_watch(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        discovery = Discovery()
+
+        async def send_endless_head(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            discovery.calls.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.writelines(ENDLESS_HEAD_PARTS)
+            await reader.read()
+
+        monkeypatch.setattr(discovery, "serve", send_endless_head)
+        async with sidecar(
+            Upstream(respond_in_turn(OK)), discovery=discovery, polls_endpoints=False
+        ) as running_sidecar:
+            async with asyncio.timeout(2.0):  # a watch without a message would be given up after 4 s
+                await wait_until(lambda: len(discovery.calls) == 2)
+            assert status_of(await running_sidecar.fetch(request("pay"))) == 200
+
+    run_async(test)
+
+
+def test_endless_head_ends_the_call_to_the_api_server() -> None:
+    async def test() -> None:
+        response = api_client.ResponseReader(CallKind.LIST, lambda line: None, lambda: None)
+        for part in ENDLESS_HEAD_PARTS:
+            response.data_received(part)
+        assert response.done_future.done() and isinstance(response.failure, ValueError)
+
+    run_async(test)
