--- a/ryepier/sidecar/upstream_connection.py
+++ b/ryepier/sidecar/upstream_connection.py
@@ -14,7 +14,8 @@
 from ryepier.balancer.interface import Outcome
 from ryepier.errors import RyepierError
 from ryepier.sidecar.request_parsing import NOT_RUN_HEADER
-from ryepier.sidecar.requests import AttemptResult
+from ryepier.sidecar.requests import AttemptResult, Header
+from ryepier.sidecar.response_framing import FRAMING_HEADERS, runs_until_end_of_connection
 from ryepier.sidecar.segments import MAX_SEGMENT_BYTES, split_into_segments
 from ryepier.sidecar.upstream_attempt import UpstreamAttempt
 
@@ -52,6 +53,7 @@
         self.status = 0
         self.marked_not_run = False
         self.content_type = b""
+        self.framing_headers: list[Header] = []
         self.body = bytearray()
         self.received_bytes = 0
         self.head_complete = False
@@ -68,6 +70,12 @@
             if not self.is_complete and self._bytes_until_limit() <= 0:
                 raise ResponseTooLongError
 
+    def finish(self) -> None:
+        """Record the regular end of the connection, which completes a response without a length and chunks."""
+        if self.head_complete and not self.is_complete:
+            self.keeps_alive = False
+            self.is_complete = runs_until_end_of_connection(self.status, self.framing_headers)
+
     def _bytes_until_limit(self) -> int:
         if self.is_complete:
             return MAX_SEGMENT_BYTES
@@ -91,13 +99,19 @@
         name = name.lower()
         if name == b"content-length" and int(value) > MAX_BODY_BYTES:
             raise ResponseTooLongError
+        if name in FRAMING_HEADERS and not self.head_complete:
+            self.framing_headers.append((name, value))
         if name == NOT_RUN_HEADER:
             self.marked_not_run = value.strip() == b"1"
         elif name == b"content-type":
             self.content_type = value
 
     def on_headers_complete(self) -> None:
-        """Record the end of the head."""
+        """Record the status and the end of the head."""
+        assert self.parser is not None
+        if self.is_complete:
+            return
+        self.status = self.parser.get_status_code()
         self.head_complete = True
 
     def on_body(self, data: bytes) -> None:
@@ -112,10 +126,10 @@
         assert self.parser is not None
         if self.is_complete:
             return
-        self.status = self.parser.get_status_code()
         if self.status < FIRST_FINAL_STATUS:
             self.marked_not_run = self.head_complete = False
             self.content_type = b""
+            self.framing_headers = []
             return
         self.is_complete = True
         self.keeps_alive = self.parser.should_keep_alive()
@@ -283,8 +297,15 @@
         )
 
     def eof_received(self) -> None:
-        """Stop using the connection after the current response, as the upstream closes it."""
+        """Stop using the connection, as the upstream closes it; that completes a response without a length.
+
+        A reset does not get here: it only ends the connection, and an attempt without a complete response with it.
+        """
         self._mark_unusable()
+        if self.attempt is not None and self.response is not None:
+            self.response.finish()
+            if self.response.is_complete:
+                self._finish_complete(self.response)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Remove the connection from the pool and end its attempt."""
