Emulate responses without a length, and check at the far end that they are forwarded

Change: world faults no-length and no-length-reset; experiment no-length with seeded faults reset-as-end and end-as-reset; a test walks through each number of bytes and both endings of a connection for eight kinds of responses.

--- a/ryepier/emulator/converter_connection.py
+++ b/ryepier/emulator/converter_connection.py
@@ -18,14 +18,21 @@
 PROBE_TARGETS = (b"/alive", b"/metrics/load")
 
 
-def encode_response(status: http.HTTPStatus, body: bytes, load_report: str, not_run: bool = False) -> bytes:
-    """Return a complete response; `not_run` marks the request as certainly not executed."""
+def encode_response(
+    status: http.HTTPStatus, body: bytes, load_report: str, not_run: bool = False, has_length: bool = True
+) -> bytes:
+    """Return a complete response; `not_run` marks the request as certainly not executed.
+
+    Without `has_length` the response is complete only once its connection has ended.
+    """
     head = b"HTTP/1.1 %d %s\r\n" % (status, status.phrase.encode())
     if load_report:
         head += b"X-Load: %s\r\n" % load_report.encode()
     if not_run:
         head += b"X-Not-Run: 1\r\n"
-    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    if has_length:
+        head += b"Content-Length: %d\r\n" % len(body)
+    return head + b"\r\n" + body
 
 
 @dataclass(frozen=True, slots=True)
--- a/ryepier/emulator/converter_server.py
+++ b/ryepier/emulator/converter_server.py
@@ -278,8 +278,15 @@
             return
         assert connection.attempt is not None
         request_id = connection.attempt.request_id.encode("latin-1")
-        data = encode_response(status, body, self.model.load_report(self.clock.now_us()), not_run)
-        if self._faults.affects(FaultKind.RESET_AFTER, request_id):
+        ends_connection = self._faults.affects(FaultKind.NO_LENGTH, request_id)
+        resets_after_body = self._faults.affects(FaultKind.NO_LENGTH_RESET, request_id)
+        has_length = not (ends_connection or resets_after_body)
+        data = encode_response(status, body, self.model.load_report(self.clock.now_us()), not_run, has_length)
+        if resets_after_body:
+            connection.write(data)
+            connection.end_attempt(AttemptOutcome.RESET)
+            connection.abort()
+        elif self._faults.affects(FaultKind.RESET_AFTER, request_id):
             connection.end_attempt(AttemptOutcome.RESET)
             connection.abort()
         elif self._faults.affects(FaultKind.HALF_ANSWER, request_id):
@@ -289,6 +296,8 @@
         else:
             connection.write(data)
             connection.end_attempt(AttemptOutcome.ANSWERED, status, not_run)
+            if ends_connection:
+                connection.close()
 
     def _arm_timer(self) -> None:
         next_us = self.model.next_us
--- a/ryepier/emulator/timeline.py
+++ b/ryepier/emulator/timeline.py
@@ -99,6 +99,8 @@
         FaultKind.RESET_BEFORE,
         FaultKind.RESET_AFTER,
         FaultKind.HALF_ANSWER,
+        FaultKind.NO_LENGTH,
+        FaultKind.NO_LENGTH_RESET,
         FaultKind.SLOW,
         FaultKind.CUT,
         FaultKind.TURN_AWAY,
--- a/ryepier/emulator/world.py
+++ b/ryepier/emulator/world.py
@@ -64,6 +64,8 @@
     RESET_BEFORE = "reset-before"
     RESET_AFTER = "reset-after"
     HALF_ANSWER = "half-answer"
+    NO_LENGTH = "no-length"
+    NO_LENGTH_RESET = "no-length-reset"
     SLOW = "slow"
     CUT = "cut"
     ZONE_CUT = "zone-cut"
--- a/ryepier/experiments/faults/seeded_faults.py
+++ b/ryepier/experiments/faults/seeded_faults.py
@@ -21,6 +21,7 @@
 from ryepier.sidecar.requests import AttemptResult, ClientRequest, FinalAnswer
 from ryepier.sidecar.system import clock_us
 from ryepier.sidecar.upstream_attempt import UpstreamAttempt
+from ryepier.sidecar.upstream_connection import ResponseReader, UpstreamConnection
 
 DUPLICATION_INTERVAL = 40  # one in this many attempts is sent to a second converter, too
 LOSS_INTERVAL = 150  # one in this many answers is never written
@@ -145,6 +146,22 @@
     time.sleep(START_DELAY_S)
 
 
+def take_reset_for_end() -> None:
+    """Complete a response without a length also where its connection is reset."""
+    original_connection_lost = UpstreamConnection.connection_lost
+
+    def finish_and_lose_connection(self: UpstreamConnection, error: Exception | None) -> None:
+        self.eof_received()
+        original_connection_lost(self, error)
+
+    UpstreamConnection.connection_lost = finish_and_lose_connection  # type: ignore[method-assign]
+
+
+def take_end_for_reset() -> None:
+    """Never complete a response without a length."""
+    ResponseReader.finish = lambda self: None  # type: ignore[method-assign]
+
+
 SEEDED_FAULTS: dict[str, Callable[[], None]] = {
     "twice": send_twice,
     "deaf": ignore_draining,
@@ -155,4 +172,6 @@
     "no-advice": omit_retry_after,
     "spin": waste_cpu,
     "late-start": start_late,
+    "reset-as-end": take_reset_for_end,
+    "end-as-reset": take_end_for_reset,
 }
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -20,7 +20,7 @@
 from ryepier.emulator.harness import RoleAssignment, run_world
 from ryepier.emulator.loopback import find_network
 from ryepier.emulator.process import Clock, Plan, monotonic_us
-from ryepier.emulator.records import NEVER, ClientAttempt, ConverterAttempt, RequestOutcome
+from ryepier.emulator.records import NEVER, AttemptOutcome, ClientAttempt, ConverterAttempt, RequestOutcome
 from ryepier.emulator.timeline import FaultAction, Step, TargetKind
 from ryepier.emulator.world import (
     Clients,
@@ -219,6 +219,35 @@
     run_with_time_limit(test)
 
 
+@pytest.mark.parametrize(
+    ("fault", "outcome", "is_reset"),
+    [
+        (FaultKind.NO_LENGTH, AttemptOutcome.ANSWERED, False),
+        (FaultKind.NO_LENGTH_RESET, AttemptOutcome.RESET, True),
+    ],
+)
+def test_response_without_a_length_ends_or_is_reset_after_its_last_byte(
+    fault: FaultKind, outcome: AttemptOutcome, is_reset: bool
+) -> None:
+    async def test() -> None:
+        async with running_converter() as server:
+            begin_fault(server, fault)
+            reader, writer = await asyncio.open_connection(*server.owner.plan.converter_address(0))
+            writer.write(request_bytes("1"))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200 ") and b"Content-Length" not in head
+            if is_reset:
+                with pytest.raises(ConnectionResetError):
+                    await reader.read()
+            else:
+                assert await reader.read() == b'{"for":"1","by":"c-0000"}'
+            writer.close()
+            [attempt] = recorded_attempts(server)
+            assert attempt.outcome is outcome and attempt.finished_us >= 0
+
+    run_with_time_limit(test)
+
+
 def test_request_received_only_in_part_before_a_stop_is_not_recorded() -> None:
     async def test() -> None:
         async with running_converter() as server:
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import socket
 import struct
 
 import pytest
 
+from ryepier.balancer.interface import Outcome
+from ryepier.sidecar.requests import AttemptResult, ClientRequest
 from ryepier.sidecar.response_framing import runs_until_end_of_connection
-from tests.network_peers import Script, Upstream, request, run_async, sidecar, status_of
+from ryepier.sidecar.system import clock_us
+from ryepier.sidecar.upstream_attempt import UpstreamAttempt
+from ryepier.sidecar.upstream_connection import ConnectionState, UpstreamConnection
+from tests.network_peers import ATTEMPT_TIMEOUT_US, Script, Upstream, request, run_async, sidecar, status_of
 
 LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER value with which closing a socket sends a reset
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
@@ -140,3 +146,109 @@
 )
 def test_framing_of_a_response(status: int, headers: list[tuple[bytes, bytes]], expected: bool) -> None:
     assert runs_until_end_of_connection(status, headers) is expected
+
+
+class RecordingPool:
+    """Owner of a connection under test."""
+
+    def __init__(self) -> None:
+        self.idle_count = 0
+        self.broken_reuses: list[bool] = []
+
+    def add(self, connection: UpstreamConnection) -> None:
+        pass
+
+    def put_idle(self, connection: UpstreamConnection) -> None:
+        self.idle_count += 1
+
+    def record_reuse(self, idle_us: int, broke: bool) -> None:
+        self.broken_reuses.append(broke)
+
+    def remove(self, connection: UpstreamConnection) -> None:
+        pass
+
+    def on_closing(self, connection: UpstreamConnection) -> None:
+        pass
+
+    def on_closed(self, connection: UpstreamConnection) -> None:
+        pass
+
+
+class ClosableTransport(asyncio.Transport):
+    """Transport that discards what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_closed = False
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def write(self, data: object) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+    def abort(self) -> None:
+        self.is_closed = True
+
+
+class Ending(enum.Enum):
+    """How the connection ends."""
+
+    REGULAR = enum.auto()
+    RESET = enum.auto()
+
+
+UNFRAMED = HEAD + b"done"
+FRAMED = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ndo\r\n2\r\nne\r\n0\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n"
+RESPONSES = {
+    "no length": UNFRAMED,
+    "no length, close": UNFRAMED.replace(b"\r\n", b"\r\nConnection: close\r\n", 1),
+    "no length, HTTP/1.0": UNFRAMED.replace(b"HTTP/1.1", b"HTTP/1.0"),
+    "no length after an interim response": INTERIM + UNFRAMED,
+    "length": FRAMED,
+    "length, close": FRAMED.replace(b"\r\n", b"\r\nConnection: close\r\n", 1),
+    "chunked": CHUNKED,
+    "chunked after an interim response": INTERIM + CHUNKED,
+}
+
+
+def is_complete(response: bytes, received: bytes, ending: Ending) -> bool:
+    """Return whether the bytes received before the connection ended are a complete response."""
+    if b"Content-Length" in response or b"chunked" in response:
+        return received == response
+    head = response[: response.index(HEAD[-20:]) + 20]
+    return received.startswith(head) and ending is Ending.REGULAR
+
+
+# Exhaustive over the transitions of a connection: each number of bytes, at once or byte by byte, then either ending.
+@pytest.mark.parametrize("byte_by_byte", [False, True])
+@pytest.mark.parametrize("ending", Ending)
+@pytest.mark.parametrize("name", RESPONSES)
+def test_response_is_served_only_if_it_was_complete_when_its_connection_ended(
+    name: str, ending: Ending, byte_by_byte: bool
+) -> None:
+    response = RESPONSES[name]
+    client_request = ClientRequest(b"POST", b"/pay", [], b"", 0, 0, 1)
+    with socket.socket() as sock:
+        for length in range(len(response) + 1):
+            received, pool, results = response[:length], RecordingPool(), list[AttemptResult]()
+            connection = UpstreamConnection(pool, 1, sock)
+            connection.attempt = UpstreamAttempt(
+                client_request, ("127.0.0.1", 1), clock_us() + ATTEMPT_TIMEOUT_US, results.append
+            )
+            connection.connection_made(ClosableTransport())
+            connection.idle_us = 1  # counts as reused
+            for part in [received[i : i + 1] for i in range(length)] if byte_by_byte else [received][: min(length, 1)]:
+                connection.data_received(part)
+            if ending is Ending.REGULAR:
+                connection.eof_received()
+            connection.connection_lost(ConnectionResetError() if ending is Ending.RESET else None)
+            is_served = is_complete(response, received, ending)
+            assert [result.outcome for result in results] == [Outcome.OK if is_served else Outcome.RESET], received
+            assert pool.broken_reuses == [not is_served and not received]
+            assert connection.state is ConnectionState.CLOSED
