--- a/ryepier/sidecar/connection_pool.py
+++ b/ryepier/sidecar/connection_pool.py
@@ -16,7 +16,9 @@
 
 log = logging.getLogger(__name__)
 
-MIN_IDLE_BEFORE_REUSE_US = 30_000  # a surplus response to the previous request may arrive within this time
+# A surplus response to the previous request may arrive within this time. Responses are acknowledged at once, so no peer
+# holds one back for longer than it takes to write it.
+MIN_IDLE_BEFORE_REUSE_US = 30_000
 # Idle connections are closed this long before the upstream would close them, as a request might then be on its way.
 IDLE_MARGIN_US = 300_000
 BREAK_SHARE_WINDOW = 16  # number of reuses that the moving average of broken connections covers
--- a/ryepier/sidecar/system.py
+++ b/ryepier/sidecar/system.py
@@ -5,12 +5,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 from collections.abc import Callable
 
 Address = tuple[str, int]  # host, port
 
+TCP_QUICKACK: int | None = getattr(socket, "TCP_QUICKACK", None)  # socket option, only on Linux
+
 
 def _tcp_socket(family: int) -> socket.socket:
     return socket.socket(family, socket.SOCK_STREAM)
@@ -20,6 +23,18 @@
     return socket.create_server(address, backlog=backlog)
 
 
+def acknowledge_received(sock: socket.socket) -> None:
+    """Acknowledge the bytes that were read from a TCP socket at once.
+
+    Linux delays acknowledgements by up to 40 ms to send them with the next data (RFC 1122, section 4.2.3.2), and a peer
+    without TCP_NODELAY holds back its next small write until then. The option does not stay set (tcp(7)). Does nothing
+    where it does not exist.
+    """
+    if TCP_QUICKACK is not None:
+        with contextlib.suppress(OSError):  # the connection is broken, or the system has no such option
+            sock.setsockopt(socket.IPPROTO_TCP, TCP_QUICKACK, 1)
+
+
 monotonic_ns: Callable[[], int] = time.monotonic_ns
 unix_ns: Callable[[], int] = time.time_ns
 tcp_socket: Callable[[int], socket.socket] = _tcp_socket
--- a/ryepier/sidecar/upstream_connection.py
+++ b/ryepier/sidecar/upstream_connection.py
@@ -13,6 +13,7 @@
 
 from ryepier.balancer.interface import Outcome
 from ryepier.errors import RyepierError
+from ryepier.sidecar import system
 from ryepier.sidecar.request_parsing import NOT_RUN_HEADER
 from ryepier.sidecar.requests import AttemptResult, Header
 from ryepier.sidecar.response_framing import FRAMING_HEADERS, runs_until_end_of_connection
@@ -231,7 +232,12 @@
             self.partly_written = True
 
     def data_received(self, data: bytes) -> None:
-        """Read bytes of the response."""
+        """Read bytes of the response.
+
+        They are acknowledged at once, so that a surplus response arrives while the connection rests and not only with
+        the next request, to which it would then seem to be the response.
+        """
+        system.acknowledge_received(self.sock)
         response = self.response
         if self.attempt is None or response is None:
             self.close()  # surplus bytes, without a request
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 from functools import partial
 from typing import Any
 
@@ -367,3 +370,29 @@
         assert upstream.connection_count == 2
 
     run_async(test)
+
+
+# Guards against a second response that its system holds back until the first is acknowledged: it reached the client of
+# the next request on the connection.
+def test_responses_are_acknowledged_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connection_pool, "MIN_IDLE_BEFORE_REUSE_US", 0)  # allows reuse at once
+
+    async def test() -> None:
+        unacknowledged_bytes: list[int] = []
+
+        async def script(
+            upstream: Upstream, request_index: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(OK)
+            await asyncio.sleep(0.005)  # an acknowledgement may be delayed by 40 ms
+            send_queue_size = fcntl.ioctl(writer.get_extra_info("socket"), termios.TIOCOUTQ, bytes(4))
+            unacknowledged_bytes.append(int.from_bytes(send_queue_size, sys.byteorder))
+
+        upstream = Upstream(script)
+        async with sidecar(upstream) as running_sidecar:
+            for _ in range(60):  # at the start of a connection the system delays no acknowledgement
+                assert status_of(await running_sidecar.fetch(request())) == 200
+                await asyncio.sleep(0.01)
+        assert upstream.connection_count == 1 and unacknowledged_bytes == [0] * 60
+
+    run_async(test)
