--- a/ryepier/emulator/converter_server.py
+++ b/ryepier/emulator/converter_server.py
@@ -28,6 +28,7 @@
 from ryepier.sidecar import system
 
 LISTEN_BACKLOG = 1024
+SECOND_ANSWER_DELAY_US = 5_000
 DEFAULT_WORK_US = b"1000"  # value assumed for a request without the X-Work-Us header
 
 
@@ -298,6 +299,9 @@
             connection.end_attempt(AttemptOutcome.ANSWERED, status, not_run)
             if ends_connection:
                 connection.close()
+            elif self._faults.affects(FaultKind.SECOND_ANSWER, request_id):
+                connection.allow_held_back_writes()
+                self.clock.handle_at(self.clock.now_us() + SECOND_ANSWER_DELAY_US, lambda: connection.write(data))
 
     def _arm_timer(self) -> None:
         next_us = self.model.next_us
--- a/ryepier/emulator/timeline.py
+++ b/ryepier/emulator/timeline.py
@@ -101,6 +101,7 @@
         FaultKind.HALF_ANSWER,
         FaultKind.NO_LENGTH,
         FaultKind.NO_LENGTH_RESET,
+        FaultKind.SECOND_ANSWER,
         FaultKind.SLOW,
         FaultKind.CUT,
         FaultKind.TURN_AWAY,
--- a/ryepier/emulator/world.py
+++ b/ryepier/emulator/world.py
@@ -66,6 +66,7 @@
     HALF_ANSWER = "half-answer"
     NO_LENGTH = "no-length"
     NO_LENGTH_RESET = "no-length-reset"
+    SECOND_ANSWER = "second-answer"
     SLOW = "slow"
     CUT = "cut"
     ZONE_CUT = "zone-cut"
--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -3,7 +3,17 @@
 from __future__ import annotations
 
 from ryepier.experiments.core.contract import Benchmark, Experiment
-from ryepier.experiments.faults import breaking_point, ceiling, hang, no_length, release, sidecar_kill, steady, surge
+from ryepier.experiments.faults import (
+    breaking_point,
+    ceiling,
+    hang,
+    no_length,
+    release,
+    second_answer,
+    sidecar_kill,
+    steady,
+    surge,
+)
 from ryepier.experiments.graphql import cost, resets
 from ryepier.experiments.load_spread import returning
 from ryepier.experiments.load_spread import steady as load_spread
@@ -30,6 +40,7 @@
         breaking_point.EXPERIMENT,
         ceiling.EXPERIMENT,
         no_length.EXPERIMENT,
+        second_answer.EXPERIMENT,
         loss.EXPERIMENT,
         *failover.EXPERIMENTS,
         *restart.EXPERIMENTS,
--- a/ryepier/experiments/faults/seeded_faults.py
+++ b/ryepier/experiments/faults/seeded_faults.py
@@ -15,7 +15,7 @@
 from ryepier.balancer.upstream import Attempt as SentAttempt
 from ryepier.balancer.upstream import PendingRequest, TrackedUpstream
 from ryepier.check.seeded_faults import delayed_answer
-from ryepier.sidecar import endpoint_registry
+from ryepier.sidecar import connection_pool, endpoint_registry
 from ryepier.sidecar.connection_pool import ConnectionPool
 from ryepier.sidecar.dispatcher import RequestDispatcher
 from ryepier.sidecar.requests import AttemptResult, ClientRequest, FinalAnswer
@@ -162,6 +162,11 @@
     ResponseReader.finish = lambda self: None  # type: ignore[method-assign]
 
 
+def reuse_at_once() -> None:
+    """Use a connection again as soon as its response is complete."""
+    connection_pool.MIN_IDLE_BEFORE_REUSE_US = 0
+
+
 SEEDED_FAULTS: dict[str, Callable[[], None]] = {
     "twice": send_twice,
     "deaf": ignore_draining,
@@ -174,4 +179,5 @@
     "late-start": start_late,
     "reset-as-end": take_reset_for_end,
     "end-as-reset": take_end_for_reset,
+    "reuse-at-once": reuse_at_once,
 }
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -248,6 +248,21 @@
     run_with_time_limit(test)
 
 
+def test_response_is_written_a_second_time_later() -> None:
+    async def test() -> None:
+        async with running_converter() as server:
+            begin_fault(server, FaultKind.SECOND_ANSWER)
+            reader, writer = await asyncio.open_connection(*server.owner.plan.converter_address(0))
+            writer.write(request_bytes("1"))
+            first_response = await read_message(reader)
+            first_at = asyncio.get_running_loop().time()
+            assert await read_message(reader) == first_response
+            assert asyncio.get_running_loop().time() - first_at > 0.003
+            writer.close()
+
+    run_with_time_limit(test)
+
+
 def test_request_received_only_in_part_before_a_stop_is_not_recorded() -> None:
     async def test() -> None:
         async with running_converter() as server:
