Test that the end of a connection completes no list or call without its end

Change: tests only. The endpoint watch fails at any end, and a call to the API server is complete only by its length or last chunk.

--- a/tests/test_following_bytes.py
+++ b/tests/test_following_bytes.py
@@ -125,6 +125,17 @@
     run_async(test)
 
 
+@pytest.mark.parametrize("cut", [OK[:-1], OK.replace(b"Content-Length: 4\r\n", b""), b"HTTP/1.1 200 OK\r\n"])
+def test_end_of_the_connection_completes_no_call_to_the_api_server(cut: bytes) -> None:
+    async def test() -> None:
+        response = api_client.ResponseReader(CallKind.LIST, lambda line: None, lambda: None)
+        response.data_received(cut)
+        response.connection_lost(None)
+        assert response.done_future.done() and not response.is_complete
+
+    asyncio.run(test())
+
+
 @dataclass
 class RecordingWatchClient:
     """Client of an endpoint watch that records the lists and the ends of watches."""
@@ -167,6 +178,14 @@
     assert client.lists == [{"rev": 2}][:list_count] and watch.state is WatchState.FAILED and client.end_count >= 1
 
 
+def test_end_of_the_connection_completes_no_list_of_a_watch() -> None:
+    client = RecordingWatchClient()
+    watch = EndpointWatch(client)
+    watch.data_received(b'HTTP/1.1 200 OK\r\n\r\n{"rev":2,"targets":[')
+    watch.connection_lost(None)
+    assert client.lists == [] and watch.state is WatchState.FAILED and client.end_count == 1
+
+
 class RecordingRequest:
     """Request of an emulated client that records its response."""
 
