--- a/ryepier/experiments/simulation/random_worlds.py
+++ b/ryepier/experiments/simulation/random_worlds.py
@@ -71,6 +71,9 @@
     "planner-kill": 1,
     "planner-hang": 1,
 }
+# relative frequency of each fault of how converters write responses; some worlds have one in addition to the others
+RESPONSE_FAULT_WEIGHTS = {"second-answer": 2, "no-length": 1, "no-length-reset": 1}
+RESPONSE_FAULT_WORLD_SHARE = 0.15
 LOAD_FAULTS = frozenset(("surge", "hot-sidecar"))  # change the arrivals, and have no steps that could hit a request
 PLANNER_FAULTS = frozenset(("planner-kill", "planner-hang"))
 MAX_FAULTS = 4
@@ -114,7 +117,7 @@
     sidecars = int(random.integers(2 if planners.count else 1, 4))
     faults = _draw_faults(random, boosts, has_planners=planners.count > 0)
     uses_slices = random.random() < SLICES_WORLD_SHARE
-    return World(
+    world = World(
         name=f"hunt-{seed}",
         duration_s=DURATION_S,
         clients=clients,
@@ -127,6 +130,9 @@
         sidecars=_draw_sidecars(random, sidecars, uses_slices),
         discovery=_draw_discovery(random, uses_slices),
     )
+    if random.random() < RESPONSE_FAULT_WORLD_SHARE:
+        faults.append(draw_fault(random, RESPONSE_FAULT_WEIGHTS))
+    return world
 
 
 def _draw_clients(random: np.random.Generator) -> Clients:
--- a/tests/test_simulation_search.py
+++ b/tests/test_simulation_search.py
@@ -37,7 +37,8 @@
 def test_drawn_worlds_are_reproducible_and_contain_all_fault_kinds() -> None:
     worlds = [random_worlds.draw_world(seed) for seed in range(200)]
     assert worlds == [random_worlds.draw_world(seed) for seed in range(200)]
-    assert {fault.kind for world in worlds for fault in world.faults} == set(random_worlds.FAULT_WEIGHTS)
+    drawn_kinds = {fault.kind for world in worlds for fault in world.faults}
+    assert drawn_kinds == set(random_worlds.FAULT_WEIGHTS) | set(random_worlds.RESPONSE_FAULT_WEIGHTS)
 
 
 def test_history_does_not_depend_on_the_hash_seed() -> None:
@@ -76,6 +77,7 @@
         ("answer-twice", range(2), "second-answer"),
         ("keep-after-time-out", range(4, 6), "together"),
         ("forget-drain", range(110, 112), "drain"),
+        ("reuse-at-once", range(17, 18), "forged"),
     ],
 )
 def test_search_finds_seeded_faults(seeded_fault: str, seeds: range, rule: str) -> None:
