Write an emulated converter's response in a module of its own

Change: response_delivery.deliver writes a response as the one fault that affects it wants; ConverterFaults.affecting tells which. Emulated behaviour stays.

--- a/ryepier/emulator/converter_connection.py
+++ b/ryepier/emulator/converter_connection.py
@@ -171,8 +171,8 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
-    def allow_held_back_writes(self) -> None:
-        """Let the system hold back small writes until the ones before are acknowledged, as it does by default."""
+    def use_nagle_algorithm(self) -> None:
+        """Let the system delay small writes until earlier ones are acknowledged, as it does by default."""
         if self.transport is not None:
             sock: socket.socket = self.transport.get_extra_info("socket")
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
--- a/ryepier/emulator/converter_faults.py
+++ b/ryepier/emulator/converter_faults.py
@@ -39,13 +39,15 @@
         return self.is_any_of(*UNRESPONSIVE_FAULTS)
 
     def affects(self, kind: FaultKind, request_id: bytes) -> bool:
-        """Return whether the current fault is of this kind and affects a request.
+        """Return whether the current fault is of this kind and affects a request."""
+        return self.is_any_of(kind) and self.affecting(request_id) is kind
+
+    def affecting(self, request_id: bytes) -> FaultKind | None:
+        """Return the kind of the current fault if it affects a request, or None.
 
         While the fault lasts, the result is the same for every attempt with the same request id.
         """
         step = self._step
-        if step is None or step.fault is not kind:
-            return False
-        if step.via is not None and self._sidecar_of(request_id) not in step.via:
-            return False
-        return zlib.crc32(request_id + self._uid) < step.share * 2**32
+        if step is None or (step.via is not None and self._sidecar_of(request_id) not in step.via):
+            return None
+        return step.fault if zlib.crc32(request_id + self._uid) < step.share * 2**32 else None
--- a/ryepier/emulator/converter_server.py
+++ b/ryepier/emulator/converter_server.py
@@ -23,12 +23,12 @@
 )
 from ryepier.emulator.process import Clock, Plan
 from ryepier.emulator.records import NEVER, AttemptOutcome, ConverterAttempt, RoleRecords
+from ryepier.emulator.response_delivery import ConverterResponse, deliver
 from ryepier.emulator.timeline import FaultAction, Instance, Step
 from ryepier.emulator.world import FaultKind
 from ryepier.sidecar import system
 
 LISTEN_BACKLOG = 1024
-SECOND_ANSWER_DELAY_US = 5_000
 DEFAULT_WORK_US = b"1000"  # value assumed for a request without the X-Work-Us header
 
 
@@ -278,30 +278,9 @@
         if self._faults.is_unresponsive or self._check_partition(connection):
             return
         assert connection.attempt is not None
-        request_id = connection.attempt.request_id.encode("latin-1")
-        ends_connection = self._faults.affects(FaultKind.NO_LENGTH, request_id)
-        resets_after_body = self._faults.affects(FaultKind.NO_LENGTH_RESET, request_id)
-        has_length = not (ends_connection or resets_after_body)
-        data = encode_response(status, body, self.model.load_report(self.clock.now_us()), not_run, has_length)
-        if resets_after_body:
-            connection.write(data)
-            connection.end_attempt(AttemptOutcome.RESET)
-            connection.abort()
-        elif self._faults.affects(FaultKind.RESET_AFTER, request_id):
-            connection.end_attempt(AttemptOutcome.RESET)
-            connection.abort()
-        elif self._faults.affects(FaultKind.HALF_ANSWER, request_id):
-            connection.write(data[: -max(1, len(body) // 2)])
-            connection.end_attempt(AttemptOutcome.RESET)
-            connection.close()
-        else:
-            connection.write(data)
-            connection.end_attempt(AttemptOutcome.ANSWERED, status, not_run)
-            if ends_connection:
-                connection.close()
-            elif self._faults.affects(FaultKind.SECOND_ANSWER, request_id):
-                connection.allow_held_back_writes()
-                self.clock.handle_at(self.clock.now_us() + SECOND_ANSWER_DELAY_US, lambda: connection.write(data))
+        fault = self._faults.affecting(connection.attempt.request_id.encode("latin-1"))
+        response = ConverterResponse(status, body, self.model.load_report(self.clock.now_us()), not_run)
+        deliver(connection, response, fault, self.clock)
 
     def _arm_timer(self) -> None:
         next_us = self.model.next_us
