Review: a case that fails in itself exits with 2

Cause: an unexpected error in a stand-in ended the script with 1, which says that a rule was broken.

Change: every error of the script itself, and SIGTERM to it, give 2, and the processes that it started end.

--- a/review/common_2/stand_ins.py
+++ b/review/common_2/stand_ins.py
@@ -10,6 +10,7 @@
 import contextlib
 import errno
 import json
+import logging
 import os
 import resource
 import signal
@@ -36,6 +37,7 @@
 ANSWER_SLACK_S = 0.55  # an answer half a second after the client's time is still in time; sockets allow 50 ms more
 HEARTBEAT_S = 2.0  # an open watch gets an empty line this often
 CONVERT_FILE_SHARE = 0.65
+RULE_HELD, RULE_BROKEN, CANNOT_RUN = 0, 1, 2  # exit statuses of a case
 CONNECT_TIMEOUT_S = 10.0
 PATIENCE_S = 0.5  # clients wait this long after the last moment at which an answer is in time
 LAG_INTERVAL_S = 0.02
@@ -553,8 +555,10 @@
 
 def allow_descriptors(count: int) -> None:
     """Raise this process's own limit on descriptors to what is allowed. Raises CannotRunError if that is too few."""
-    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if hard not in (resource.RLIM_INFINITY,) and hard < count:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= count:
+        return
+    if hard != resource.RLIM_INFINITY and hard < count:
         raise CannotRunError(f"{count} descriptors are needed, {hard} are allowed")
     resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
 
@@ -568,6 +572,10 @@
 
 
 async def _run(case: Callable[[Record, Path], Coroutine[Any, Any, bool]], record: Record, folder: Path) -> bool:
+    task = asyncio.current_task()
+    assert task is not None
+    # A case that is told to end still ends the processes that it started.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     lags: list[float] = []
     lag_task = asyncio.create_task(watch_own_lag(lags))
     held = await case(record, folder)
@@ -585,10 +593,14 @@
         with tempfile.TemporaryDirectory() as temporary:
             held = asyncio.run(_run(case, record, Path(temporary)))
         record.add("verdict: the rule held" if held else "verdict: the rule was broken")
-        return 0 if held else 1
-    except (CannotRunError, OSError) as error:
-        record.add(f"could not run: {error}")
-        return 2
+        return RULE_HELD if held else RULE_BROKEN
+    except asyncio.CancelledError:
+        record.add("could not run: it was told to end")
+        return CANNOT_RUN
+    except Exception as error:
+        logging.exception("the case could not run")
+        record.add(f"could not run: {error!r}")
+        return CANNOT_RUN
     finally:
         record.write()
         print("\n".join(record.lines[-6:]))
