Review: case 6 stays at tens of requests a second

Change: 90 requests a second, and tries that are given up after 60% of their time, as in the other cases.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,7 +25,8 @@
 CONVERTERS = 3200  # the pages' largest fleet
 REPLACED = CONVERTERS * 6 // 10
 POD_SIZE = 4
-REQUESTS_PER_S = 150.0
+REQUESTS_PER_S = 90.0
+TRY_SHARE = 0.6  # of the time of its class, after which a try is given up
 QUIET_S = 3.0  # before the first converter is replaced
 REPLACEMENT_S = 7.0
 STEP_S = 0.25  # the agent tells all changes of this time in one object
@@ -63,7 +64,7 @@
     sidecar = Sidecar(temporary, agent, settings([CONVERT_FILE, CONVERT_BATCH], instances=200), limits)
     try:
         await sidecar.start()
-        application = Application(sidecar.listen, record, max_open=limits["sockets"] // 3)
+        application = Application(sidecar.listen, record, limits["sockets"] // 3, TRY_SHARE)
         replacement = asyncio.create_task(replace_converters(agent, converters)) if has_trouble() else None
         await application.send_steadily(REQUESTS_PER_S, QUIET_S + REPLACEMENT_S + REST_S)
         await application.finish()
