--- a/ryepier/balancer/balancer.py
+++ b/ryepier/balancer/balancer.py
@@ -184,12 +184,13 @@
         the wake-ups of the attempt."""
         event = request.event
         pool = self.membership.pool_of(upstream)
-        if pool.slow_start.is_warming(upstream.entry, self.now_us):
-            upstream.slow_start_credit -= self.estimates.relative_cost(event)
+        is_warming = pool.slow_start.is_warming(upstream.entry, self.now_us)
+        if is_warming:
+            pool.slow_start.use_credit(upstream, self.estimates.relative_cost(event))
         else:
             pool.admission.use_credit()
         pool.admission.count_attempt(self.now_us)
-        pool.subset.members[upstream] = None
+        pool.subset.join(upstream, is_warming)
         self.retries.charge_budget(request, self.admission.storm.active)
         latest_write_at_us = self.retries.latest_write_at_us(request)
         follows_timeout = any(earlier.outcome is api.Outcome.TIMEOUT for earlier in request.attempts)
@@ -305,12 +306,10 @@
     def arm_timer(self) -> None:
         """Request a timer for the next wake-up. If a request is buffered and an ejection ends sooner, the
         timer is for the end of the ejection, when the upstream may take the request."""
-        ejection_end_times_us: list[int] = []
+        restoration_us = None
         if self.buffer is not None:
-            ejection_end_times_us = self.outliers.ejection_end_times_us(
-                self.buffer.event.class_index, self.now_us
-            )
-        timer_at_us = self.wake_ups.timer_to_request(ejection_end_times_us)
+            restoration_us = self.outliers.next_restoration_us(self.buffer.event.class_index, self.now_us)
+        timer_at_us = self.wake_ups.timer_to_request(restoration_us)
         if timer_at_us is not None:
             self.actions.append(api.SetTimer(timer_at_us, 0))
 
--- a/ryepier/balancer/concurrency.py
+++ b/ryepier/balancer/concurrency.py
@@ -6,6 +6,8 @@
 class ConcurrencyLimit:
     """Limit of the attempts in flight at an upstream; below 1, the upstream is ejected between attempts."""
 
+    __slots__ = ("growing_fast", "limit")
+
     def __init__(self) -> None:
         """Start with one slot."""
         self.limit = 1.0
--- a/ryepier/balancer/outlier_detection.py
+++ b/ryepier/balancer/outlier_detection.py
@@ -9,7 +9,7 @@
 from ryepier.balancer.events import Outcome
 from ryepier.balancer.membership import Membership
 from ryepier.balancer.settings import Settings
-from ryepier.balancer.upstream import ANSWERED_OUTCOMES, FAULT_OUTCOMES, Attempt, ClassHealth, TrackedUpstream
+from ryepier.balancer.upstream import ANSWERED_OUTCOMES, FAULT_OUTCOMES, Attempt, TrackedUpstream
 
 
 class FaultVerdict(enum.Enum):
@@ -31,7 +31,6 @@
         self.estimates = estimates
         self.membership = membership
         self.random = random
-        self.last_ejection_ends_at_us = 0  # latest end of all ejections for a class
 
     def assess_attempt(self, attempt: Attempt) -> FaultVerdict:
         """Update the fault shares with an ended attempt (see `FAULT_OUTCOMES`), and return how to treat it.
@@ -65,6 +64,7 @@
         latency_multiple = 1.0 / upstream.concurrency.limit - 1.0
         ejection_us = latency_us * latency_multiple * self._jitter()
         upstream.ejected_until_us = now_us + int(ejection_us)
+        self.membership.ejections.on_upstream_ejected(upstream, now_us)
 
     def _jitter(self) -> float:
         """Return a random factor from 0.5 to 1.5, so that sidecars do not all retry an upstream at once."""
@@ -87,19 +87,22 @@
         health = attempt.upstream.by_class[attempt.class_index]
         health.unanswered_share += (1.0 - health.unanswered_share) / tuning.UNANSWERED_WINDOW
         if not attempt.overtaken_in_class:
-            self._extend_timeout_streak(health, request_class.latency_objective_us, now_us)
+            self._extend_timeout_streak(attempt, request_class.latency_objective_us, now_us)
         self.presume_lost(attempt)
 
-    def _extend_timeout_streak(self, health: ClassHealth, latency_objective_us: int, now_us: int) -> None:
+    def _extend_timeout_streak(self, attempt: Attempt, latency_objective_us: int, now_us: int) -> None:
         """Count one more unanswered attempt in a row. A streak of `EJECTION_TIMEOUT_STREAK` ejects the
         upstream for the class, and each further attempt, up to `MAX_TIMEOUT_STREAK`, doubles the duration."""
+        health = attempt.upstream.by_class[attempt.class_index]
         health.timeout_streak = min(health.timeout_streak + 1, tuning.MAX_TIMEOUT_STREAK)
         if health.timeout_streak < tuning.EJECTION_TIMEOUT_STREAK:
             return
         base_ejection_us = latency_objective_us * self._jitter()
         ejection_us = int(base_ejection_us * 2 ** (health.timeout_streak - 1))
         health.ejected_until_us = now_us + ejection_us
-        self.last_ejection_ends_at_us = max(self.last_ejection_ends_at_us, health.ejected_until_us)
+        if attempt.upstream.is_listed:
+            class_ejections = self.membership.ejections.by_class[attempt.class_index]
+            class_ejections.on_class_ejected(attempt.upstream, now_us)
 
     def presume_lost(self, attempt: Attempt) -> None:
         """Free the slot of an overdue attempt if it is presumed lost.
@@ -135,6 +138,7 @@
         health = attempt.upstream.by_class[class_index]
         health.unanswered_share -= health.unanswered_share / tuning.UNANSWERED_WINDOW
         health.timeout_streak = health.ejected_until_us = 0
+        self.membership.ejections.by_class[class_index].on_class_restored(attempt.upstream)
         for other in earlier_attempts:
             other.overtake_count += 1
             other.overtaken_in_class |= other.class_index == class_index
@@ -163,22 +167,11 @@
         upstream.queue_headroom = max(upstream.queue_headroom - 1, 0)
         return has_headroom
 
-    def ejection_end_times_us(self, class_index: int, now_us: int) -> list[int]:
-        """Return the end times (us) of the current ejections that affect a class."""
-        end_times_us = []
-        for upstream in self.membership.by_id.values():
-            end_at_us = max(upstream.ejected_until_us, upstream.by_class[class_index].ejected_until_us)
-            if end_at_us > now_us:
-                end_times_us.append(end_at_us)
-        return end_times_us
-
-    def class_ejections_apply(
-        self, listed_upstreams: Iterable[TrackedUpstream], class_index: int, now_us: int
-    ) -> bool:
+    def next_restoration_us(self, class_index: int, now_us: int) -> int | None:
+        """Return the earliest end (us) of the current ejections that affect a class, or None."""
+        return self.membership.ejections.by_class[class_index].next_restoration_us(now_us)
+
+    def class_ejections_apply(self, class_index: int, now_us: int) -> bool:
         """Return whether the ejections for a class apply. They are ignored if most upstreams are ejected."""
-        if now_us >= self.last_ejection_ends_at_us:
-            return True
-        are_ejected = [
-            now_us < upstream.by_class[class_index].ejected_until_us for upstream in listed_upstreams
-        ]
-        return sum(are_ejected) <= tuning.MAX_EJECTED_SHARE * len(are_ejected)
+        ejected_count = self.membership.ejections.by_class[class_index].count_for_class(now_us)
+        return ejected_count <= tuning.MAX_EJECTED_SHARE * len(self.membership.by_id)
--- a/ryepier/balancer/selection.py
+++ b/ryepier/balancer/selection.py
@@ -9,7 +9,12 @@
 from ryepier.balancer.outlier_detection import OutlierDetector
 from ryepier.balancer.pool import UpstreamPool
 from ryepier.balancer.retries import RetryPolicy
-from ryepier.balancer.tuning import MAX_COST_WHILE_WARMING, REJECTION_TOLERANCE, UNANSWERED_TOLERANCE
+from ryepier.balancer.tuning import (
+    MAX_COST_WHILE_WARMING,
+    MAX_UPSTREAMS_PER_EVENT,
+    REJECTION_TOLERANCE,
+    UNANSWERED_TOLERANCE,
+)
 from ryepier.balancer.upstream import ClassHealth, PendingRequest, TrackedUpstream
 
 
@@ -46,10 +51,7 @@
         """
         if not self.retries.may_send(request, now_us):
             return None
-        listed_upstreams = self.membership.by_id.values()
-        ejections_apply = self.outliers.class_ejections_apply(
-            listed_upstreams, request.event.class_index, now_us
-        )
+        ejections_apply = self.outliers.class_ejections_apply(request.event.class_index, now_us)
         for pool in self.membership.pools_in_use:
             candidates = self._candidates_of_pool(pool, request, ejections_apply, now_us)
             if candidates:
@@ -68,32 +70,24 @@
         requests, and is not sent to them unless all upstreams are warming.
         """
         slow_start = pool.slow_start
-        subset_members = pool.subset.members
-        warming_upstreams = {
-            upstream: None
-            for upstream in slow_start.warming_upstreams
-            if slow_start.is_warming(upstream.entry, now_us)
-        }
         is_expensive = self.estimates.relative_cost(request.event) > MAX_COST_WHILE_WARMING
-        all_are_warming = len(warming_upstreams) >= len(self.membership.by_id)
-        excluded_upstreams = warming_upstreams if is_expensive and not all_are_warming else {}
-        usable_warming_upstreams = [] if excluded_upstreams else [*warming_upstreams]
+        excludes_warming = is_expensive and not self._all_are_warming(pool, now_us)
+        warming_upstreams = [] if excludes_warming else self._usable_warming(pool, request, now_us)
         if pool.admission.credit < 1.0:
-            return self.candidates_with_free_slots(request, usable_warming_upstreams, ejections_apply, now_us)
-        warm_members = [upstream for upstream in subset_members if upstream not in warming_upstreams]
+            return self.candidates_with_free_slots(request, warming_upstreams, ejections_apply, now_us)
+        subset = pool.subset
+        warm_members = subset.warm_members(slow_start, now_us)
         candidates = self.candidates_with_free_slots(
-            request, [*warm_members, *usable_warming_upstreams], ejections_apply, now_us
+            request, [*warm_members, *warming_upstreams], ejections_apply, now_us
         )
-        if not candidates or len(subset_members) < pool.subset.wanted_size(pool.admission.send_rate):
+        if not candidates or len(subset.members) < subset.wanted_size(pool.admission.send_rate):
             # Only in this case are upstreams outside the subset considered. Sidecars that are connected to
             # every upstream would exhaust the upstreams' connections.
-            pools = self.membership.pools
             outside_subset = [
                 upstream
-                for upstream in self.membership.by_id.values()
-                if pools[upstream.pool_index] is pool
-                and upstream not in subset_members
-                and upstream not in excluded_upstreams
+                for upstream in self._next_in_scope(pool, request)
+                if upstream not in subset.members
+                and not (excludes_warming and slow_start.is_warming(upstream.entry, now_us))
             ]
             candidates = (
                 self.candidates_with_free_slots(request, outside_subset, ejections_apply, now_us)
@@ -101,6 +95,33 @@
             )
         return candidates
 
+    def _all_are_warming(self, pool: UpstreamPool, now_us: int) -> bool:
+        """Return whether all listed upstreams are in a pool and warm up."""
+        slow_start = pool.slow_start
+        return len(slow_start.warming) >= len(self.membership.by_id) and not slow_start.is_outdated(now_us)
+
+    def _usable_warming(
+        self, pool: UpstreamPool, request: PendingRequest, now_us: int
+    ) -> list[TrackedUpstream]:
+        """Return warming upstreams of a pool that may have credit for a request, in the order listed."""
+        slow_start = pool.slow_start
+        if self.retries.scope_attempt(request) is None:
+            upstreams = slow_start.next_with_credit()
+        else:
+            upstreams = self._next_in_scope(pool, request)
+        return [upstream for upstream in upstreams if slow_start.is_warming(upstream.entry, now_us)]
+
+    def _next_in_scope(self, pool: UpstreamPool, request: PendingRequest) -> list[TrackedUpstream]:
+        """Return the upstreams of a pool that a request may be sent to, in the order listed; if there are
+        many, the next part of them."""
+        scope_attempt = self.retries.scope_attempt(request)
+        if scope_attempt is None:
+            in_scope = pool.listed
+        else:
+            in_scope = pool.in_scope(request.request_class.idempotency_scope, scope_attempt.entry)
+        upstreams = in_scope.next_batch(MAX_UPSTREAMS_PER_EVENT)
+        return sorted(upstreams, key=lambda upstream: upstream.position)
+
     def candidates_with_free_slots(
         self,
         request: PendingRequest,
--- a/ryepier/balancer/tuning.py
+++ b/ryepier/balancer/tuning.py
@@ -49,6 +49,10 @@
 MAX_COST_WHILE_WARMING = 4.0  # multiple of the mean cost; costlier requests avoid warming upstreams
 DEMAND_CREDIT_SHARE = 0.1  # slow-start credit for an arrival, relative to that for an answer
 
+# Upstreams of one kind (warming, outside the subset) that one event looks at; the next event continues
+# behind them. Without a limit the work for each request would grow with the fleet.
+MAX_UPSTREAMS_PER_EVENT = 256
+
 # Subset of the upstreams that a sidecar uses
 MIN_SUBSET_SIZE = 4  # upstreams in the subset of a sidecar with hardly any traffic
 ATTEMPT_RATE_PER_MEMBER = 1.5  # attempts per second for which the subset gets one more upstream
--- a/ryepier/balancer/upstream.py
+++ b/ryepier/balancer/upstream.py
@@ -48,6 +48,11 @@
     latency_ratio: float = 1.0  # moving average of its latency relative to the class means
     fault_share: float = 0.0  # moving average of the share of attempts that were faults
     logged_ejected: bool = False
+    is_listed: bool = True  # False once it was removed, or replaced by its restarted successor
+    position: int = 0  # listed upstreams are ordered by this
+    # State of slow start at the last time that credit was given
+    warming_traffic: float = 0.0  # traffic relative to that of a warm upstream of size 1
+    credited_total: float = 0.0  # `SlowStart.credit_total` up to which credit was given
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/ryepier/balancer/wake_ups.py
+++ b/ryepier/balancer/wake_ups.py
@@ -2,7 +2,6 @@
 
 import enum
 import heapq
-from collections.abc import Iterable
 from typing import NamedTuple
 
 
@@ -48,15 +47,14 @@
         if self.timer_at_us <= now_us:
             self.timer_at_us = 0
 
-    def timer_to_request(self, other_times_us: Iterable[int]) -> int | None:
+    def timer_to_request(self, other_time_us: int | None) -> int | None:
         """Return the time (us) for which to request a timer, or None if the requested timer is early enough.
 
-        The timer is for the next wake-up, or for the earliest of `other_times_us` if that is sooner.
+        The timer is for the next wake-up, or for `other_time_us` if that is sooner.
         """
         next_us = self.pending[0].at_us if self.pending else None
-        for other_time_us in other_times_us:
-            if next_us is None or other_time_us < next_us:
-                next_us = other_time_us
+        if other_time_us is not None and (next_us is None or other_time_us < next_us):
+            next_us = other_time_us
         if next_us is None or 0 < self.timer_at_us <= next_us:
             return None
         self.timer_at_us = next_us
--- a/ryepier/check/seeded_faults.py
+++ b/ryepier/check/seeded_faults.py
@@ -90,7 +90,7 @@
 
 def any_failure_domain() -> None:
     """Retry requests with an idempotency key in any failure domain, even one where the key is unknown."""
-    RetryPolicy.in_scope = lambda self, first_attempt, upstream: True  # type: ignore[method-assign]
+    RetryPolicy.scope_attempt = lambda self, request: None  # type: ignore[method-assign]
 
 
 def long_idempotency_window() -> None:
