--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -11,6 +11,7 @@
 
 from ryepier.sidecar import system
 from ryepier.sidecar.dispatcher import RequestDispatcher
+from ryepier.sidecar.read_pacer import REQUEST_WORK, PacedProtocol, ReadPacer
 from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.request_parsing import READINESS_PATH, Dialect, RequestError, Response, retry_after_line
 from ryepier.sidecar.request_reader import RequestReader
@@ -61,6 +62,7 @@
     dispatcher: RequestDispatcher
     recent_ids: RecentRequestIds
     partial_retry_after_us: int  # Retry-After of rejected partial requests; 0 = no such header
+    read_pacer: ReadPacer
     is_stopping: bool  # the server shuts down: each response is the last of its connection
 
     @property
@@ -83,14 +85,14 @@
         """Stop tracking a connection; its later state changes are ignored."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(PacedProtocol):
     """A client connection: reads requests, passes them to the dispatcher, and writes the responses."""
 
     def __init__(self, server: ClientConnectionOwner, sock: socket.socket) -> None:
         """Create the connection of an accepted socket, in state NEW. It reads once `connection_made` is called."""
+        super().__init__()
         self.server = server
         self.sock = sock
-        self.transport: asyncio.Transport | None = None
         self.state = ClientState.NEW
         self.state_since = system.monotonic()
         self.last_received_at = 0.0  # time of the current request's last bytes; 0 = none yet
@@ -119,6 +121,11 @@
 
     # Reading
 
+    @property
+    def read_pacer(self) -> ReadPacer:
+        """The pacer of the server's connections."""
+        return self.server.read_pacer
+
     def data_received(self, data: bytes) -> None:
         """Read received bytes; hand the request to the dispatcher once it is complete."""
         if self.state in (ClientState.CLOSING, ClientState.PROCESSING):
@@ -128,7 +135,7 @@
             self.server.change_state(self, ClientState.READING)
         self.last_received_at = system.monotonic()
         try:
-            self.reader.feed(data)
+            self._feed(data)
             self.has_pipelined_bytes = self.reader.has_pipelined_bytes
             if self.server.account_for_request(self) and self.reader.is_complete:
                 self._accept_request()
@@ -140,6 +147,13 @@
             log.exception("request could not be read")
             self.write(Response(500), last=True)
 
+    def _feed(self, data: bytes) -> None:
+        callbacks_before = self.reader.callback_count
+        try:
+            self.reader.feed(data)
+        finally:
+            self.parse_work += self.reader.callback_count - callbacks_before
+
     def _log_rejection(self, status: int, reason: str) -> None:
         part = "body" if self.reader.head_complete else "head"
         log.info("request not accepted, status %d: %s (%s, %d bytes)", status, reason, part, self.reader.received_bytes)
@@ -179,6 +193,7 @@
             raise RequestError(409, "this X-Request-Id has been used")
         reader.release()
         self.request = request
+        self.parse_work += REQUEST_WORK
         self.server.change_state(self, ClientState.PROCESSING)
         request.client_disconnected = self.client_disconnected
         self.request_ident = self.server.dispatcher.on_request(request, self.respond)
@@ -254,7 +269,9 @@
         return self.transport is None or self.transport.get_write_buffer_size() == 0
 
     def has_no_unread_bytes(self) -> bool:
-        """Return whether the socket has no received bytes that were not read yet."""
+        """Return whether there are no received bytes that were not parsed yet."""
+        if self.unparsed_bytes:
+            return False
         try:
             return self.sock.recv(1, socket.MSG_PEEK) == b""
         except OSError:  # no bytes have arrived, or the connection is broken
@@ -276,8 +293,14 @@
             # A connection without a complete first request must end within 3 s, however slowly bytes arrive. So only
             # later requests get the longer timeout.
             timeout_s = READ_TIMEOUT_S if self.state is ClientState.NEW else SLOW_READ_TIMEOUT_S
-            if now > min(self.last_received_at + READ_STALL_S, self.state_since + timeout_s):
-                self._log_rejection(408, "it arrives too slowly")
+            ends_at = self.state_since + timeout_s
+            if self.unparsed_bytes:
+                reason = "it takes too much work to parse"
+            else:
+                reason = "it arrives too slowly"
+                ends_at = min(ends_at, self.last_received_at + READ_STALL_S)
+            if now > ends_at:
+                self._log_rejection(408, reason)
                 self.write(Response(408), last=True)
             return
         may_still_flush = now < self.state_since + STATE_TIMEOUTS_S[self.state] + FLUSH_TIMEOUT_S
--- a/ryepier/sidecar/connection_pool.py
+++ b/ryepier/sidecar/connection_pool.py
@@ -9,6 +9,7 @@
 
 from ryepier.balancer.interface import Outcome
 from ryepier.sidecar import system
+from ryepier.sidecar.read_pacer import ReadPacer
 from ryepier.sidecar.requests import Address, AttemptResult, ClientRequest
 from ryepier.sidecar.system import clock_us
 from ryepier.sidecar.upstream_attempt import UpstreamAttempt
@@ -45,6 +46,7 @@
         `dial_timeout_us`; 0 sets no limit. `max_connections` includes connections that are being dialled or closed.
         """
         self.loop = asyncio.get_running_loop()
+        self.read_pacer = ReadPacer()
         self.max_idle_us = max(0, upstream_idle_timeout_us - IDLE_MARGIN_US)
         # Moving average of the share of reused connections that broke at their next request, by log2 of the idle time.
         self.break_shares = [0.0] * 64
--- /dev/null
+++ b/ryepier/sidecar/read_pacer.py
@@ -0,0 +1,120 @@
+"""Shares the event loop among connections, so that bytes of one peer that take long to parse do not delay the others.
+
+Work is counted in units, not in time, so that the same bytes are treated alike on every machine: a unit is about one
+callback of the HTTP parser.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from abc import abstractmethod
+from collections import deque
+
+from ryepier.sidecar import system
+
+READ_BYTES = 8 * 1024  # the most bytes that are read and parsed at a time
+BYTES_PER_UNIT = 64  # bytes within a header, chunk or body cost little
+REQUEST_WORK = 1_500  # units of handing a request to the dispatcher
+MAX_TURN_WORK = 12_000  # units in one iteration of the event loop; the last part that is parsed may exceed it
+MAX_HEAVY_TURN_WORK = 3_000  # units of connections that are heavy, which leaves time for the others
+LIGHT_WORK = 4_000  # units within WINDOW_S; a connection with more is heavy
+WINDOW_S = 0.5
+
+
+class PacedProtocol(asyncio.BufferedProtocol):
+    """A protocol whose received bytes are parsed when the event loop has time for them.
+
+    `data_received` gets them in parts of up to READ_BYTES.
+    """
+
+    def __init__(self) -> None:
+        """Start without received bytes."""
+        self.transport: asyncio.Transport | None = None
+        self.parse_work = 0  # units in the current window
+        self.window_ends_at = 0.0
+        self.unparsed_bytes = b""  # read but not parsed yet; nothing more is read meanwhile
+
+    @property
+    @abstractmethod
+    def read_pacer(self) -> ReadPacer:
+        """The pacer that this connection shares with others."""
+
+    @abstractmethod
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and add the work to `parse_work`."""
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes, which all connections share."""
+        return self.read_pacer.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes in the buffer, now or in a later iteration of the event loop."""
+        self.read_pacer.on_bytes(self, bytes(self.read_pacer.buffer[:nbytes]))
+
+
+class ReadPacer:
+    """Bounds the parsing in one iteration of the event loop.
+
+    Bytes of a connection that needed little work recently are parsed at once, up to MAX_TURN_WORK in one iteration;
+    beyond that they wait for the next ones. Heavy connections always wait, behind the others.
+    """
+
+    def __init__(self) -> None:
+        """Start with the whole work of an iteration available."""
+        self.loop = asyncio.get_running_loop()
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        self.turn_work = 0
+        self.light_connections: deque[PacedProtocol] = deque()
+        self.heavy_connections: deque[PacedProtocol] = deque()
+        self.is_turn_scheduled = False
+
+    def on_bytes(self, connection: PacedProtocol, data: bytes) -> None:
+        """Parse bytes now if the connection is light and the iteration has time; otherwise queue the connection."""
+        is_heavy = self._is_heavy(connection)
+        if is_heavy or self.turn_work >= MAX_TURN_WORK:
+            assert connection.transport is not None
+            connection.unparsed_bytes = data
+            connection.transport.pause_reading()
+            (self.heavy_connections if is_heavy else self.light_connections).append(connection)
+        else:
+            self._parse(connection, data)
+        self._schedule_turn()
+
+    @staticmethod
+    def _is_heavy(connection: PacedProtocol) -> bool:
+        now = system.monotonic()
+        if now >= connection.window_ends_at:
+            connection.window_ends_at = now + WINDOW_S
+            connection.parse_work = 0
+        return connection.parse_work > LIGHT_WORK
+
+    def _parse(self, connection: PacedProtocol, data: bytes) -> None:
+        work_before = connection.parse_work
+        connection.data_received(data)
+        self.turn_work += connection.parse_work - work_before + len(data) // BYTES_PER_UNIT + 1
+
+    def _schedule_turn(self) -> None:
+        if not self.is_turn_scheduled:
+            self.is_turn_scheduled = True
+            self.loop.call_soon(self._begin_turn)
+
+    def _begin_turn(self) -> None:
+        """Parse what waits, in the next iteration of the event loop and before it reads from sockets again."""
+        self.is_turn_scheduled = False
+        self.turn_work = 0
+        self._parse_queued(self.light_connections, MAX_TURN_WORK)
+        self._parse_queued(self.heavy_connections, self.turn_work + MAX_HEAVY_TURN_WORK)
+        if self.turn_work:
+            self._schedule_turn()
+
+    def _parse_queued(self, connections: deque[PacedProtocol], max_work: int) -> None:
+        for _ in range(len(connections)):
+            if self.turn_work >= max_work:
+                return
+            connection = connections.popleft()
+            data, connection.unparsed_bytes = connection.unparsed_bytes, b""
+            transport = connection.transport
+            if transport is None or transport.is_closing():
+                continue
+            transport.resume_reading()  # before the bytes are parsed, as the connection may pause again
+            self._parse(connection, data)
--- a/ryepier/sidecar/request_reader.py
+++ b/ryepier/sidecar/request_reader.py
@@ -12,6 +12,7 @@
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADER_COUNT = 100
 HEADER_OVERHEAD_BYTES = 150  # memory of a stored header in addition to its name and value
+CALLBACKS_PER_MESSAGE = 4  # begin, target, end of the head, end of the message
 MAX_CHUNKED_BYTES = 8 * MAX_BODY_BYTES  # limit of a chunked message with its framing: a one-byte chunk takes six bytes
 
 
@@ -29,6 +30,7 @@
 
     __slots__ = (
         "body",
+        "callback_count",
         "chunked",
         "has_pipelined_bytes",
         "head_complete",
@@ -58,6 +60,7 @@
         self.header_bytes = 0  # length of the names and values in `headers`
         self.received_bytes = 0
         self.body = bytearray()
+        self.callback_count = 0  # calls of the parser, the cost of parsing
 
     @property
     def is_partial(self) -> bool:
@@ -129,6 +132,7 @@
 
     def on_message_begin(self) -> None:
         """Record that another request was sent before the current one was answered."""
+        self.callback_count += CALLBACKS_PER_MESSAGE
         if self.is_complete:
             self.has_pipelined_bytes = True
 
@@ -139,6 +143,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header. Trailers are ignored, as they could contradict the headers."""
+        self.callback_count += 1
         if not self.is_complete and not self.head_complete:
             self._add_header(name, value)
 
@@ -164,6 +169,7 @@
 
         Content-Length was checked before, but a chunked body has no length in its head.
         """
+        self.callback_count += 1
         if self.is_complete:
             return
         self.body += data
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -13,6 +13,7 @@
 from ryepier.sidecar import system
 from ryepier.sidecar.client_connection import STATE_TIMEOUTS_S, ClientConnection, ClientState
 from ryepier.sidecar.dispatcher import RequestDispatcher
+from ryepier.sidecar.read_pacer import ReadPacer
 from ryepier.sidecar.request_buffers import RequestBuffers
 from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.request_parsing import Dialect, PlatformDialect
@@ -79,6 +80,7 @@
         self.clients_by_state: dict[ClientState, dict[ClientConnection, None]] = {state: {} for state in ClientState}
         self.request_buffers = RequestBuffers[ClientConnection](max_buffered_bytes)
         self.connection_start_tasks: set[asyncio.Task[object]] = set()
+        self.read_pacer = ReadPacer()
         self.is_stopping = False
         self.sock: socket.socket | None = None
 
--- a/ryepier/sidecar/upstream_connection.py
+++ b/ryepier/sidecar/upstream_connection.py
@@ -14,6 +14,7 @@
 from ryepier.balancer.interface import Outcome
 from ryepier.errors import RyepierError
 from ryepier.sidecar import system
+from ryepier.sidecar.read_pacer import PacedProtocol, ReadPacer
 from ryepier.sidecar.request_parsing import NOT_RUN_HEADER
 from ryepier.sidecar.requests import AttemptResult, Header
 from ryepier.sidecar.response_framing import FRAMING_HEADERS, runs_until_end_of_connection
@@ -25,6 +26,7 @@
 MAX_BODY_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 256 * 1024  # including its head, preceding interim responses, and chunk framing
 MAX_HEAD_BYTES = 32 * 1024
+CALLBACKS_PER_MESSAGE = 4  # begin, status, end of the head, end of the message
 FIRST_FINAL_STATUS = 200  # a response with a lower status is an interim one
 NOT_RUN_STATUSES = frozenset((503, 504))  # with X-Not-Run: 1, the upstream rejected the request before running it
 RETRYABLE_STATUSES = frozenset((408, 425, 429))  # the 4xx statuses that don't depend on the request itself
@@ -58,6 +60,7 @@
         self.body = bytearray()
         self.received_bytes = 0
         self.head_complete = False
+        self.callback_count = 0  # calls of the parser, the cost of parsing
 
     def feed(self, data: bytes) -> None:
         """Parse bytes of the response.
@@ -90,11 +93,13 @@
 
     def on_message_begin(self) -> None:
         """Record that a second response has begun, after which the connection can't be reused."""
+        self.callback_count += CALLBACKS_PER_MESSAGE
         if self.is_complete:
             self.keeps_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Evaluate a header. Raises ResponseTooLongError if Content-Length exceeds MAX_BODY_BYTES."""
+        self.callback_count += 1
         if self.is_complete:
             return
         name = name.lower()
@@ -117,6 +122,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body. Raises ResponseTooLongError if the body exceeds MAX_BODY_BYTES."""
+        self.callback_count += 1
         if not self.is_complete:
             self.body += data
             if len(self.body) > MAX_BODY_BYTES:
@@ -139,6 +145,8 @@
 class ConnectionOwner(Protocol):
     """The part of the pool that its connections use."""
 
+    read_pacer: ReadPacer
+
     def add(self, connection: UpstreamConnection) -> None:
         """Add a connection that is about to be dialled."""
 
@@ -158,16 +166,16 @@
         """Remove a connection whose descriptor is freed before the next iteration of the event loop."""
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(PacedProtocol):
     """A connection to an upstream: writes an attempt, reads its response, and reports the outcome."""
 
     def __init__(self, pool: ConnectionOwner, upstream: int, sock: socket.socket) -> None:
         """Add the connection to the pool, in state OPEN; the pool dials its socket afterwards."""
+        super().__init__()
         self.pool = pool
         self.upstream = upstream
         self.upstream_removed = False  # the upstream is no longer listed or has another address
         self.sock = sock
-        self.transport: asyncio.Transport | None = None
         self.state = ConnectionState.OPEN
         self.attempt: UpstreamAttempt | None = None
         self.response: ResponseReader | None = None
@@ -176,6 +184,11 @@
         self.idle_us = 0  # idle time before the current attempt; 0 for the first attempt
         pool.add(self)
 
+    @property
+    def read_pacer(self) -> ReadPacer:
+        """The pacer of the pool's connections."""
+        return self.pool.read_pacer
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the attempt that waits for this connection, if it may still be sent."""
         assert isinstance(transport, asyncio.Transport)
@@ -212,6 +225,8 @@
         """
         if self.state is not ConnectionState.OPEN or self.transport is None or self.transport.is_closing():
             return False
+        if self.unparsed_bytes:
+            return False
         try:
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -243,10 +258,12 @@
             self.close()  # surplus bytes, without a request
             return
         malformed = False
+        callbacks_before = response.callback_count
         try:
             response.feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ResponseTooLongError):
             malformed = True  # the bytes that follow could be taken for the next response
+        self.parse_work += response.callback_count - callbacks_before
         if malformed or not response.keeps_alive:
             self._mark_unusable()
         if response.is_complete:
--- a/ryepier/sim/transport.py
+++ b/ryepier/sim/transport.py
@@ -30,6 +30,7 @@
         self._writing_paused = False
         self._read_scheduled = False
         self._eof_delivered = False
+        self._undelivered = b""  # read from the socket, but not passed to the protocol yet
         self._context = contextvars.copy_context()
         sock.transport = self
 
@@ -63,17 +64,31 @@
     def _read(self) -> None:
         self._read_scheduled = False
         pipe, protocol = self.sock.inbound, self._protocol
-        assert pipe is not None and isinstance(protocol, asyncio.Protocol)
+        assert pipe is not None and isinstance(protocol, asyncio.Protocol | asyncio.BufferedProtocol)
         if self._reading_paused or self.closed or self.closing:
             return
-        if pipe.received_segments:
-            protocol.data_received(pipe.read())
+        if not self._undelivered and pipe.received_segments:
+            self._undelivered = pipe.read()
+        if self._undelivered:
+            self._deliver(protocol)
             self.schedule_read()
         elif pipe.has_received_eof and not self._eof_delivered:
             self._eof_delivered = True
             if not protocol.eof_received():
                 self.close()
 
+    def _deliver(self, protocol: asyncio.Protocol | asyncio.BufferedProtocol) -> None:
+        """Pass bytes to the protocol: all that were read, or as many as its buffer takes."""
+        data, self._undelivered = self._undelivered, b""
+        if isinstance(protocol, asyncio.Protocol):
+            protocol.data_received(data)
+            return
+        buffer = memoryview(protocol.get_buffer(-1))
+        part = data[: len(buffer)]
+        self._undelivered = data[len(buffer) :]
+        buffer[: len(part)] = part
+        protocol.buffer_updated(len(part))
+
     def is_reading(self) -> bool:
         """Return whether received data is delivered to the protocol."""
         return not self._reading_paused
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ryepier.balancer.interface import Outcome
+from ryepier.sidecar.read_pacer import ReadPacer
 from ryepier.sidecar.requests import AttemptResult, ClientRequest
 from ryepier.sidecar.response_framing import runs_until_end_of_connection
 from ryepier.sidecar.system import clock_us
@@ -151,6 +152,8 @@
 class RecordingPool:
     """Owner of a connection under test."""
 
+    read_pacer: ReadPacer  # not used, as the tests pass bytes to the connection themselves
+
     def __init__(self) -> None:
         self.idle_count = 0
         self.broken_reuses: list[bool] = []
