--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -31,6 +31,12 @@
 PIPELINING_REJECTION = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
+def render_rejection(retry_after_us: int) -> bytes:
+    """Return the bytes of a 503 after which the connection closes."""
+    head = b"HTTP/1.1 503 Service Unavailable\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n"
+    return head % retry_after_line(retry_after_us)
+
+
 class ClientState(enum.Enum):
     """State of a client connection.
 
@@ -193,7 +199,10 @@
             raise RequestError(409, "this X-Request-Id has been used")
         reader.release()
         self.request = request
-        self.parse_work += REQUEST_WORK
+        if self.received_at:
+            # The client's time began when the request arrived, not when it was read.
+            request.arrived_at_us = min(request.arrived_at_us, int(self.received_at * 1e6))
+        self.read_pacer.turn_work += REQUEST_WORK
         self.server.change_state(self, ClientState.PROCESSING)
         request.client_disconnected = self.client_disconnected
         self.request_ident = self.server.dispatcher.on_request(request, self.respond)
--- a/ryepier/sidecar/read_pacer.py
+++ b/ryepier/sidecar/read_pacer.py
@@ -33,6 +33,9 @@
         self.parse_work = 0  # units in the current window
         self.window_ends_at = 0.0
         self.unparsed_bytes = b""  # read but not parsed yet; nothing more is read meanwhile
+        # Time since which received bytes may lie unread in the socket; None: they are read when they arrive
+        self.unread_since: float | None = None
+        self.received_at = 0.0  # earliest time at which the last bytes that were read may have arrived
 
     @property
     @abstractmethod
@@ -43,12 +46,19 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and add the work to `parse_work`."""
 
+    @abstractmethod
+    def has_no_unread_bytes(self) -> bool:
+        """Return whether there are no received bytes that were not parsed yet."""
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next bytes, which all connections share."""
         return self.read_pacer.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes in the buffer, now or in a later iteration of the event loop."""
+        now = system.monotonic()
+        self.received_at = now if self.unread_since is None else self.unread_since
+        self.unread_since = None
         self.read_pacer.on_bytes(self, bytes(self.read_pacer.buffer[:nbytes]))
 
 
@@ -74,6 +84,7 @@
         if is_heavy or self.turn_work >= MAX_TURN_WORK:
             assert connection.transport is not None
             connection.unparsed_bytes = data
+            connection.unread_since = system.monotonic()
             connection.transport.pause_reading()
             (self.heavy_connections if is_heavy else self.light_connections).append(connection)
         else:
@@ -116,5 +127,7 @@
             transport = connection.transport
             if transport is None or transport.is_closing():
                 continue
+            if connection.has_no_unread_bytes():
+                connection.unread_since = None
             transport.resume_reading()  # before the bytes are parsed, as the connection may pause again
             self._parse(connection, data)
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import logging
 import socket
@@ -11,17 +12,22 @@
 
 from ryepier.balancer.interface import Settings
 from ryepier.sidecar import system
-from ryepier.sidecar.client_connection import STATE_TIMEOUTS_S, ClientConnection, ClientState
+from ryepier.sidecar.accept_queue import AcceptQueue
+from ryepier.sidecar.client_connection import STATE_TIMEOUTS_S, ClientConnection, ClientState, render_rejection
 from ryepier.sidecar.dispatcher import RequestDispatcher
-from ryepier.sidecar.read_pacer import ReadPacer
+from ryepier.sidecar.read_pacer import READ_BYTES, ReadPacer
 from ryepier.sidecar.request_buffers import RequestBuffers
 from ryepier.sidecar.request_ids import RecentRequestIds
-from ryepier.sidecar.request_parsing import Dialect, PlatformDialect
+from ryepier.sidecar.request_parsing import Dialect, PlatformDialect, RequestError
+from ryepier.sidecar.request_reader import RequestReader
 from ryepier.sidecar.requests import Address
 
 log = logging.getLogger(__name__)
 
 FIRST_REQUEST_GRACE_S = 0.25  # new connections are not evicted for this long, as clients send a request at once
+CROWD_GRACE_S = 0.03  # the same while connections wait for long
+QUEUE_PATIENCE_SHARE = 0.25  # of the shortest deadline; after this wait a crowd has to move on
+SPARE_CLIENTS_SHARE = 8  # one more connection for this many, for requests that have waited so long
 SWEEP_INTERVAL_S = 0.1
 LISTEN_BACKLOG = 1024
 ACCEPT_BATCH_SIZE = 16  # connections per loop iteration; accepting hundreds at once would delay the open ones
@@ -48,8 +54,11 @@
     EvictionRule(ClientState.IDLE, 2.0, partial=False),
     EvictionRule(ClientState.NEW, FIRST_REQUEST_GRACE_S, partial=True),
     EvictionRule(ClientState.READING, FIRST_REQUEST_GRACE_S, partial=True),
-    EvictionRule(ClientState.IDLE, 0.0, partial=False),
 )
+LAST_EVICTION_RULE = EvictionRule(ClientState.IDLE, 0.0, partial=False)
+# Tried before the last one once connections have waited in the listener's queue for long: they may have sent requests
+# whose time runs, so a crowd of silent ones has to move on.
+CROWD_EVICTION_RULE = EvictionRule(ClientState.NEW, CROWD_GRACE_S, partial=False)
 
 
 class Server:
@@ -81,6 +90,9 @@
         self.request_buffers = RequestBuffers[ClientConnection](max_buffered_bytes)
         self.connection_start_tasks: set[asyncio.Task[object]] = set()
         self.read_pacer = ReadPacer()
+        self.accept_queue = AcceptQueue(LISTEN_BACKLOG)
+        shortest_deadline_us = min(request_class.deadline_us for request_class in settings.classes)
+        self.queue_patience_s = QUEUE_PATIENCE_SHARE * shortest_deadline_us / 1e6
         self.is_stopping = False
         self.sock: socket.socket | None = None
 
@@ -114,15 +126,22 @@
         self.accept_up_to(ACCEPT_BATCH_SIZE)
 
     def accept_up_to(self, limit: int) -> None:
-        """Accept up to `limit` waiting connections."""
+        """Accept up to `limit` waiting connections.
+
+        If there is no capacity for too long, a connection is accepted only to look at it: one with a complete request
+        gets a spare connection, any other is rejected or, if it is silent, closed. Otherwise requests would wait behind
+        a crowd for longer than their time.
+        """
         assert self.sock is not None
         for _ in range(limit):
-            if self.connection_count() >= self.max_clients and not self.free_capacity():
+            has_capacity = self.connection_count() < self.max_clients or self.free_capacity()
+            if not has_capacity and not self.is_queue_overdue():
                 self.pause_accepting()
                 return
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
+                self.accept_queue.on_empty()
                 return
             except OSError as error:
                 log.warning("connection not accepted: %r", error)
@@ -130,11 +149,46 @@
                 self.pause_accepting()
                 return
             sock.setblocking(False)
-            client = ClientConnection(self, sock)
-            self.clients_by_state[ClientState.NEW][client] = None
-            task = self.loop.create_task(self.start_connection(client, sock))
-            self.connection_start_tasks.add(task)
-            task.add_done_callback(self.connection_start_tasks.discard)
+            waiting_since = self.accept_queue.on_accepted(system.monotonic())
+            if has_capacity or (self.has_spare_connection() and self.holds_request(sock)):
+                self.add_connection(sock, waiting_since)
+            else:
+                self.reject_waiting(sock)
+        self.accept_queue.on_left_waiting(system.monotonic())
+
+    def is_queue_overdue(self) -> bool:
+        """Return whether connections wait in the listener's queue for so long that requests may come too late."""
+        return self.accept_queue.has_waited(self.queue_patience_s, system.monotonic())
+
+    def reject_waiting(self, sock: socket.socket) -> None:
+        """Reject what has arrived on an accepted connection, if anything has, and close it."""
+        log.info("connection closed after a long wait: all %d are in use", self.max_clients)
+        with contextlib.suppress(OSError):  # nothing has arrived, or the connection was reset
+            if sock.recv(READ_BYTES):  # a close over unread bytes would reset the connection
+                sock.send(render_rejection(self.partial_retry_after_us))
+        sock.close()
+
+    def add_connection(self, sock: socket.socket, waiting_since: float | None) -> None:
+        """Start to serve an accepted connection; its first bytes may have arrived since `waiting_since`."""
+        client = ClientConnection(self, sock)
+        if waiting_since is not None and not client.has_no_unread_bytes():
+            client.unread_since = waiting_since
+        self.clients_by_state[ClientState.NEW][client] = None
+        task = self.loop.create_task(self.start_connection(client, sock))
+        self.connection_start_tasks.add(task)
+        task.add_done_callback(self.connection_start_tasks.discard)
+
+    def holds_request(self, sock: socket.socket) -> bool:
+        """Return whether a complete request waits in a socket; it stays there."""
+        reader = RequestReader()
+        try:
+            reader.feed(sock.recv(READ_BYTES, socket.MSG_PEEK))
+        except (OSError, RequestError):  # nothing has arrived, the connection was reset, or it is no proper request
+            return False
+        finally:
+            self.read_pacer.turn_work += reader.callback_count
+            reader.release()
+        return reader.is_complete
 
     async def start_connection(self, client: ClientConnection, sock: socket.socket) -> None:
         """Create the transport of an accepted connection, which starts reading from it."""
@@ -147,6 +201,7 @@
     def pause_accepting(self) -> None:
         """Stop accepting for ACCEPT_PAUSE_S. The listener stays readable, so the event loop would otherwise spin."""
         if self.sock is not None:
+            self.accept_queue.on_left_waiting(system.monotonic())
             self.loop.remove_reader(self.sock)
             self.loop.call_later(ACCEPT_PAUSE_S, self.resume_accepting)
 
@@ -164,20 +219,27 @@
         once their clients have read the response. Without the limit on connections no descriptors would be left for
         upstreams and discovery.
         """
-        now = system.monotonic()
         for rule in EVICTION_RULES:
-            candidates = self.evictable(rule, now - rule.min_inactive_s)
-            if rule.partial:
-                for client in list(itertools.islice(candidates, ACCEPT_BATCH_SIZE)):
-                    client.reject_partial("its connection is needed")
-            elif (evicted := next(candidates, None)) is not None:
-                evicted.close()
-                self.remove(evicted)
-                return True
-        return False
-
-    def evictable(self, rule: EvictionRule, inactive_since: float) -> Iterator[ClientConnection]:
+            if not rule.partial:
+                if self.evict(rule):
+                    return True
+                continue
+            for client in list(itertools.islice(self.evictable(rule), ACCEPT_BATCH_SIZE)):
+                client.reject_partial("its connection is needed")
+        return (self.is_queue_overdue() and self.evict(CROWD_EVICTION_RULE)) or self.evict(LAST_EVICTION_RULE)
+
+    def evict(self, rule: EvictionRule) -> bool:
+        """Close the connection that a rule names first, and return whether there was one."""
+        client = next(self.evictable(rule), None)
+        if client is None:
+            return False
+        client.close()
+        self.remove(client)
+        return True
+
+    def evictable(self, rule: EvictionRule) -> Iterator[ClientConnection]:
         """Yield the connections that may be evicted by a rule, beginning with the one longest in its state."""
+        inactive_since = system.monotonic() - rule.min_inactive_s
         for client in self.clients_by_state[rule.state]:
             if client.state_since > inactive_since:
                 return
@@ -190,6 +252,10 @@
             ):
                 yield client
 
+    def has_spare_connection(self) -> bool:
+        """Return whether a connection may be opened beyond `max_clients`."""
+        return self.connection_count() < self.max_clients + self.max_clients // SPARE_CLIENTS_SHARE
+
     def change_state(self, client: ClientConnection, state: ClientState) -> None:
         """Move a connection to another state, unless it was removed."""
         if client in self.clients_by_state[client.state]:
--- a/ryepier/sidecar/upstream_connection.py
+++ b/ryepier/sidecar/upstream_connection.py
@@ -225,6 +225,10 @@
         """
         if self.state is not ConnectionState.OPEN or self.transport is None or self.transport.is_closing():
             return False
+        return self.has_no_unread_bytes()
+
+    def has_no_unread_bytes(self) -> bool:
+        """Return whether there are no received bytes that were not parsed yet, and no end of the connection."""
         if self.unparsed_bytes:
             return False
         try:
