--- a/ryepier/sidecar/discovery.py
+++ b/ryepier/sidecar/discovery.py
@@ -26,7 +26,9 @@
 # A retry is cheap, as the agent is local; with a shorter pause the client would spin while the agent is down.
 WATCH_RETRY_S = 0.1
 MAX_RETRY_DOUBLINGS = 5  # limit for doubling WATCH_RETRY_S, which happens while watches deliver malformed data
-FIRST_LIST_TIMEOUT_S = 0.3  # a local agent either answers at once or is down
+AGENT_CONNECT_TIMEOUT_S = 0.3  # an agent is local: where none accepts a connection by then, there is none
+# The longest wait for an agent that is silent, as discovery is down. A restarted sidecar has to be ready within 10 s.
+FIRST_LIST_TIMEOUT_S = 9.0
 Listener = Callable[[UpstreamsUpdated, dict[int, Address]], None]
 
 
@@ -57,7 +59,9 @@
         self.connect_task: asyncio.Task[None] | None = None
         self.last_received_at = 0.0
         self.last_message_at = 0.0  # time of the last message or of the call's start; an empty line counts as a message
-        self.first_list_received = asyncio.Event()  # set once a list has arrived since the start
+        # Set once a list has arrived since the start, or the agent has told that the cached one is the newest
+        self.first_list_received = asyncio.Event()
+        self.agent_has_accepted = False  # a connection since the start
         self.consecutive_malformed_watches = 0  # reset by each valid list
         self.timer: asyncio.TimerHandle | None = None
 
@@ -79,15 +83,25 @@
             self.subscribe(True)
 
     async def wait_for_first_list(self) -> None:
-        """If changes are pushed, wait up to FIRST_LIST_TIMEOUT_S for the first list.
+        """If changes are pushed, wait for the first list, up to FIRST_LIST_TIMEOUT_S.
 
-        The cached list may be older than a drain, although the platform already counts this sidecar as notified of that
-        drain. If the agent stays silent, the sidecar starts with the cached list.
+        The cached list may be older than a drain that the agent knows of, and the sidecar counts as notified of
+        whatever the agent has, also while the agent is silent. Without an agent the sidecar starts with the cached
+        list after AGENT_CONNECT_TIMEOUT_S.
         """
-        if self.is_pushed:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(FIRST_LIST_TIMEOUT_S):
-                    await self.first_list_received.wait()
+        if not self.is_pushed or await self._has_first_list_within(AGENT_CONNECT_TIMEOUT_S):
+            return
+        if self.agent_has_accepted:
+            log.warning("discovery is silent: waiting for the first list for up to %d s", FIRST_LIST_TIMEOUT_S)
+            if await self._has_first_list_within(FIRST_LIST_TIMEOUT_S - AGENT_CONNECT_TIMEOUT_S):
+                return
+        log.warning("starting with the cached list, which may be old")
+
+    async def _has_first_list_within(self, timeout_s: float) -> bool:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.first_list_received.wait()
+        return self.first_list_received.is_set()
 
     def subscribe(self, active: bool) -> None:
         """Open a new watch in place of the current one, or with `active` False only close it."""
@@ -126,6 +140,7 @@
         """Open the connection of a watch; if that fails, the watch has ended."""
         try:
             await self.loop.create_connection(lambda: watch, *self.address)
+            self.agent_has_accepted = True
         except OSError:
             self.on_watch_ended(watch)
 
@@ -147,6 +162,7 @@
         """Tell the listener that the current version, if there is one, is the newest."""
         if self.version:
             self.listener(UpstreamsUpdated(ListKind.DELTA, [], self.version), {})
+            self.first_list_received.set()
 
     def on_list(self, message: Any) -> None:
         """Apply a list or changes. Raises EndpointListError if the message is malformed."""
--- a/ryepier/sidecar/serving.py
+++ b/ryepier/sidecar/serving.py
@@ -28,6 +28,17 @@
             log.warning("configuration not reloaded: %r", error)
 
 
+async def is_current_before(stop: asyncio.Event, source: EndpointSource) -> bool:
+    """Wait for the first list of a source; return False if `stop` was set before it came."""
+    waits = [asyncio.ensure_future(source.wait_for_first_list()), asyncio.ensure_future(stop.wait())]
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for wait in waits:
+            wait.cancel()
+    return not stop.is_set()
+
+
 async def serve(
     sidecar_config: config.Config,
     stop: asyncio.Event,
@@ -52,9 +63,9 @@
     reload_task = asyncio.get_running_loop().create_task(follow_config(sidecar_config.path, reload, source))
     for service in background_services:
         service.start()
-    await source.wait_for_first_list()
-    for front_end in front_ends:
-        front_end.listen()
+    if await is_current_before(stop, source):
+        for front_end in front_ends:
+            front_end.listen()
     await stop.wait()
     reload_task.cancel()
     await shut_down(dispatcher, front_ends)
--- a/tests/network_peers.py
+++ b/tests/network_peers.py
@@ -10,9 +10,12 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
+from unittest import mock
 
 from ryepier.balancer.interface import Idempotency, IdempotencyScope, RequestClass, Settings
+from ryepier.sidecar import discovery as discovery_module
 from ryepier.sidecar.config import Config
+from ryepier.sidecar.discovery import AGENT_CONNECT_TIMEOUT_S
 from ryepier.sidecar.serving import serve
 from tests.loopback_ports import free_port
 
@@ -344,10 +347,16 @@
 
 @asynccontextmanager
 async def sidecar(
-    *upstreams: Upstream, discovery: Discovery | None = None, cached_list: Json | None = None, **changes: Any
+    *upstreams: Upstream,
+    discovery: Discovery | None = None,
+    cached_list: Json | None = None,
+    first_list_timeout_s: float = AGENT_CONNECT_TIMEOUT_S,
+    **changes: Any,
 ) -> AsyncIterator[Sidecar]:
     """Run a sidecar in this process whose cached endpoint list has these upstreams.
 
+    It waits for the first list of a silent agent for `first_list_timeout_s`, which is shorter than the product's.
+
     It polls `discovery` if that is given. Otherwise it watches an agent that sends only an empty change. `changes` are
     passed to `sidecar_config`.
     """
@@ -363,7 +372,8 @@
     config = sidecar_config(port, agent.port, cached_list, **changes)
     task = asyncio.create_task(serve(config, stop, reload))
     try:
-        await wait_until_listening(port, task)
+        with mock.patch.object(discovery_module, "FIRST_LIST_TIMEOUT_S", first_list_timeout_s):
+            await wait_until_listening(port, task)
         yield Sidecar(port, stop, reload, task)
     finally:
         task.cancel()
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from ryepier.sidecar.discovery import FIRST_LIST_TIMEOUT_S
+from ryepier.sidecar.serving import serve
+from tests.loopback_ports import free_port
 from tests.network_peers import (
     HANG_TIMEOUT_S,
     OK,
@@ -21,8 +24,10 @@
     respond_in_turn,
     run_async,
     sidecar,
+    sidecar_config,
     status_of,
     wait_until,
+    wait_until_listening,
     write_configuration,
 )
 
@@ -218,7 +223,10 @@
     run_async(test)
 
 
-def test_sidecar_waits_for_the_first_list_before_serving_requests() -> None:
+# Guards against requests to draining converters: a sidecar that started while discovery was silent for longer than
+# 0.3 s served on its old list.
+@pytest.mark.parametrize("silence_s", [0.1, 1.5])
+def test_sidecar_waits_for_the_first_list_before_serving_requests(silence_s: float) -> None:
     async def test() -> None:
         old_upstream, new_upstream = Upstream(respond_in_turn(OK)), Upstream(respond_in_turn(OK))
         await old_upstream.start()
@@ -240,12 +248,17 @@
         cached_list = endpoint_list(endpoint_entry("u0", old_upstream.port))
 
         async def release_later() -> None:
-            """Let the agent respond, after 0.1 s."""
-            await asyncio.sleep(0.1)
+            """Let the agent respond, after its silence."""
+            await asyncio.sleep(silence_s)
             release.set()
 
         task = asyncio.create_task(release_later())
-        async with sidecar(discovery=discovery, cached_list=cached_list, polls_endpoints=False) as running_sidecar:
+        async with sidecar(
+            discovery=discovery,
+            cached_list=cached_list,
+            polls_endpoints=False,
+            first_list_timeout_s=FIRST_LIST_TIMEOUT_S,
+        ) as running_sidecar:
             assert status_of(await running_sidecar.fetch(request())) == 200
         await task
         assert not old_upstream.requests and len(new_upstream.requests) == 1
@@ -255,6 +268,41 @@
     run_async(test)
 
 
+def test_wait_for_the_first_list_outlasts_an_outage_and_ends_before_a_restart_counts_as_slow() -> None:
+    assert 8.0 < FIRST_LIST_TIMEOUT_S < 10.0
+
+
+def test_sidecar_that_waits_for_the_first_list_stops_at_once() -> None:
+    async def test() -> None:
+        discovery, stop = Discovery(), asyncio.Event()  # accepts the watch and sends no list
+        await discovery.start()
+        cached_list = endpoint_list(endpoint_entry("u0", 1))
+        config = sidecar_config(free_port(), discovery.port, cached_list, polls_endpoints=False)
+        task = asyncio.create_task(serve(config, stop, asyncio.Event()))
+        await discovery.wait_for_watch()
+        stop.set()
+        async with asyncio.timeout(3.0):
+            await task
+        discovery.stop()
+
+    run_async(test)
+
+
+def test_sidecar_without_an_agent_starts_with_its_cached_list() -> None:
+    async def test() -> None:
+        upstream = Upstream(respond_in_turn(OK))
+        await upstream.start()
+        cached_list = endpoint_list(endpoint_entry("u0", upstream.port))
+        config = sidecar_config(free_port(), free_port(), cached_list, polls_endpoints=False)
+        task = asyncio.create_task(serve(config, asyncio.Event(), asyncio.Event()))
+        async with asyncio.timeout(3.0):
+            await wait_until_listening(config.listen[1], task)
+        task.cancel()
+        upstream.stop()
+
+    run_async(test)
+
+
 def test_sidecar_with_a_silent_agent_starts_with_its_cached_list() -> None:
     async def test() -> None:
         discovery = Discovery()  # accepts the watch and sends no list
