--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import functools
 import http
 import logging
 import socket
@@ -205,6 +206,7 @@
         self.read_pacer.turn_work += REQUEST_WORK
         self.server.change_state(self, ClientState.PROCESSING)
         request.client_disconnected = self.client_disconnected
+        request.on_never_sent = functools.partial(self.server.recent_ids.discard, request.request_id)
         self.request_ident = self.server.dispatcher.on_request(request, self.respond)
 
     def client_disconnected(self) -> bool:
--- a/ryepier/sidecar/dispatcher.py
+++ b/ryepier/sidecar/dispatcher.py
@@ -319,6 +319,8 @@
     def _close(self, open_request: OpenRequest) -> None:
         """Mark a request as answered or abandoned, and cancel its attempts that were not written completely."""
         open_request.closed = True
+        if not open_request.attempts:
+            open_request.request.on_never_sent()
         if open_request.timer is not None:
             open_request.timer.cancel()
         for attempt_index, attempt in enumerate(open_request.attempts):
--- a/ryepier/sidecar/request_ids.py
+++ b/ryepier/sidecar/request_ids.py
@@ -6,7 +6,11 @@
 
 
 class RecentRequestIds:
-    """The ids of open and recent requests, kept in two generations; each rotation drops the older one."""
+    """The ids of open requests and of recent ones that were sent, kept in two generations.
+
+    Each rotation drops the older generation. Ids that no upstream has seen are discarded at once: one client can send
+    any number of requests that are rejected, and their ids would fill the memory.
+    """
 
     def __init__(self, period_s: float) -> None:
         """Start empty. Ids are remembered for at least `period_s`; no request may stay open for longer."""
@@ -15,6 +19,15 @@
         self.previous_generation: set[bytes] = set()
         self.rotated_at = system.monotonic()
 
+    def __len__(self) -> int:
+        """Return how many ids are remembered."""
+        return len(self.current_generation) + len(self.previous_generation)
+
+    def discard(self, request_id: bytes) -> None:
+        """Forget the id of a request that no upstream has seen."""
+        self.current_generation.discard(request_id)
+        self.previous_generation.discard(request_id)
+
     def add(self, request_id: bytes) -> bool:
         """Remember an id. Returns False if it is already known."""
         now = system.monotonic()
