--- a/ryepier/fronts/graphql.py
+++ b/ryepier/fronts/graphql.py
@@ -11,6 +11,7 @@
 from ryepier.graphql.classify import Classification, ClassificationTable, ClassRule, FieldRule
 from ryepier.graphql.errors import GraphqlError
 from ryepier.graphql.request import JSON_TYPE, RESPONSE_TYPE, ParsedRequest, RequestReader, response_type
+from ryepier.sidecar import system
 from ryepier.sidecar.components import FrontEnd
 from ryepier.sidecar.config import Config, parse_address
 from ryepier.sidecar.dispatcher import RequestDispatcher
@@ -260,7 +261,7 @@
         config.settings,
         address,
         config.max_descriptors // 2 // front_end_count,
-        max_buffered_bytes(config.memory_mb) // front_end_count,
+        max_buffered_bytes(config.memory_mb, system.resident_bytes()) // front_end_count,
         dialect,
     )
 
--- a/ryepier/sidecar/components.py
+++ b/ryepier/sidecar/components.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ryepier.sidecar import system
 from ryepier.sidecar.config import Config
 from ryepier.sidecar.discovery import DiscoveryClient
 from ryepier.sidecar.dispatcher import RequestDispatcher
@@ -97,7 +98,7 @@
         config.settings,
         config.listen,
         max_clients=config.max_descriptors // 2,
-        max_buffered_bytes=max_buffered_bytes(config.memory_mb),
+        max_buffered_bytes=max_buffered_bytes(config.memory_mb, system.resident_bytes()),
     )
 
 
--- a/ryepier/sidecar/discovery.py
+++ b/ryepier/sidecar/discovery.py
@@ -67,10 +67,11 @@
 
     def restore_cached_list(self) -> None:
         """Pass the cached list to the listener, if there is a valid one."""
-        if not self.cached_list:
+        cached_list, self.cached_list = self.cached_list, None  # a long list would take megabytes until the end
+        if not cached_list:
             return
         try:
-            event, addresses = self.registry.apply(self.cached_list, ListKind.CACHED)
+            event, addresses = self.registry.apply(cached_list, ListKind.CACHED)
         except EndpointListError as error:  # start without a list and wait for one from discovery
             log.warning("cached endpoint list is malformed: %s", error)
             return
--- a/ryepier/sidecar/request_buffers.py
+++ b/ryepier/sidecar/request_buffers.py
@@ -8,12 +8,19 @@
 Client = TypeVar("Client")
 
 MEMORY_SHARE = 8  # requests may take one part in this many of the sidecar's memory
+REMAINING_SHARE = 4  # and one part in this many of what is left; the rest is for connections and responses
+MIN_BUFFERED_BYTES = 256 * 1024  # a few of the longest requests
 BYTES_PER_MB = 1024 * 1024
 
 
-def max_buffered_bytes(memory_mb: int) -> int:
-    """Return how many bytes all requests of a sidecar may take, for its limit on memory in MiB."""
-    return memory_mb * BYTES_PER_MB // MEMORY_SHARE
+def max_buffered_bytes(memory_mb: int, used_bytes: int) -> int:
+    """Return how many bytes all requests of a sidecar may take, for its limit on memory in MiB.
+
+    `used_bytes` is the memory in use before the first request: a long endpoint list leaves little of a small limit.
+    """
+    limit_bytes = memory_mb * BYTES_PER_MB
+    remaining_bytes = limit_bytes - used_bytes
+    return max(MIN_BUFFERED_BYTES, min(limit_bytes // MEMORY_SHARE, remaining_bytes // REMAINING_SHARE))
 
 
 class RequestBuffers(Generic[Client]):
--- a/ryepier/sidecar/serving.py
+++ b/ryepier/sidecar/serving.py
@@ -53,6 +53,7 @@
     dispatcher = RequestDispatcher(sidecar_config.settings, sidecar_config.seed, pool)
     source = components.source(sidecar_config, dispatcher)
     dispatcher.subscribe = source.subscribe
+    sidecar_config.cached_list = None  # the source has it
     source.restore_cached_list()
     dispatcher.start()
     source.start()
--- a/ryepier/sidecar/system.py
+++ b/ryepier/sidecar/system.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import contextlib
+import resource
 import socket
 import time
 from collections.abc import Callable
@@ -35,10 +36,20 @@
             sock.setsockopt(socket.IPPROTO_TCP, TCP_QUICKACK, 1)
 
 
+def _resident_bytes() -> int:
+    """Return the resident memory of this process with file pages, or 0 where the system does not tell."""
+    try:
+        with open("/proc/self/statm", encoding="ascii") as statistics:
+            return int(statistics.read().split()[1]) * resource.getpagesize()
+    except OSError:
+        return 0
+
+
 monotonic_ns: Callable[[], int] = time.monotonic_ns
 unix_ns: Callable[[], int] = time.time_ns
 tcp_socket: Callable[[int], socket.socket] = _tcp_socket
 listen: Callable[[Address, int], socket.socket] = _listen
+resident_bytes: Callable[[], int] = _resident_bytes
 
 
 def monotonic() -> float:
--- a/ryepier/sim/run.py
+++ b/ryepier/sim/run.py
@@ -232,15 +232,16 @@
 @contextlib.contextmanager
 def _replace_system(loop: SimLoop) -> Iterator[None]:
     """Replace the clocks and sockets of `sidecar.system` with those of the loop within the context."""
-    originals = system.monotonic_ns, system.unix_ns, system.tcp_socket, system.listen
+    originals = system.monotonic_ns, system.unix_ns, system.tcp_socket, system.listen, system.resident_bytes
     system.monotonic_ns = lambda: round(loop.time() * 1e9)
     system.unix_ns = lambda: UNIX_EPOCH_NS + round(loop.unix_s() * 1e9)
     system.tcp_socket = cast(Any, lambda family: SimSocket(loop.network))
     system.listen = cast(Any, loop.network.listen)
+    system.resident_bytes = lambda: 0
     try:
         yield
     finally:
-        system.monotonic_ns, system.unix_ns, system.tcp_socket, system.listen = originals
+        system.monotonic_ns, system.unix_ns, system.tcp_socket, system.listen, system.resident_bytes = originals
 
 
 def simulate(seed: int, main: Callable[[SimLoop], Awaitable[T]]) -> T:
--- a/tests/limited_sidecar.py
+++ b/tests/limited_sidecar.py
@@ -105,13 +105,13 @@
         return response.head.partition(b"\r\n")[0]
 
 
-def converter_list(upstream: Upstream, rev: int) -> Json:
-    """Return an endpoint list of CONVERTER_COUNT entries that all have the upstream's address."""
-    return endpoint_list(*(endpoint_entry(f"u{number}", upstream.port) for number in range(CONVERTER_COUNT)), rev=rev)
+def converter_list(upstream: Upstream, rev: int, count: int = CONVERTER_COUNT) -> Json:
+    """Return an endpoint list of `count` entries that all have the upstream's address."""
+    return endpoint_list(*(endpoint_entry(f"u{number}", upstream.port) for number in range(count)), rev=rev)
 
 
 def write_sidecar_configuration(
-    directory: Path, port: int, upstream: Upstream, discovery_port: int, descriptor_limit: int
+    directory: Path, port: int, upstream: Upstream, discovery_port: int, descriptor_limit: int, converter_count: int
 ) -> Path:
     """Write the configuration file of a sidecar with MEMORY_LIMIT_MB and return its path.
 
@@ -125,7 +125,7 @@
         directory,
         listen=f"127.0.0.1:{port}",
         discovery=f"127.0.0.1:{discovery_port}",
-        known=converter_list(upstream, 1),
+        known=converter_list(upstream, 1, converter_count),
         settings=SETTINGS | {"request-classes": [pay], "invariants": invariants, "bounds": bounds},
         limits={"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": descriptor_limit},
     )
@@ -149,12 +149,18 @@
 
 @asynccontextmanager
 async def limited_sidecar(
-    directory: Path, upstream: Upstream, discovery_port: int, descriptor_limit: int = DESCRIPTOR_LIMIT
+    directory: Path,
+    upstream: Upstream,
+    discovery_port: int,
+    descriptor_limit: int = DESCRIPTOR_LIMIT,
+    converter_count: int = CONVERTER_COUNT,
 ) -> AsyncIterator[LimitedSidecar]:
     """Run the sidecar, and check at the end that it still runs and never reached its limits."""
     await upstream.start()
     port, log_path = free_port(), directory / "log"
-    configuration = write_sidecar_configuration(directory, port, upstream, discovery_port, descriptor_limit)
+    configuration = write_sidecar_configuration(
+        directory, port, upstream, discovery_port, descriptor_limit, converter_count
+    )
     process = await start_process(configuration, log_path, descriptor_limit)
     sidecar = LimitedSidecar(process.pid, port)
     watch_task = asyncio.create_task(sidecar.sample_usage())
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -12,6 +12,7 @@
 import pytest
 
 from ryepier.sidecar.client_connection import ClientState
+from ryepier.sidecar.request_buffers import MIN_BUFFERED_BYTES, max_buffered_bytes
 from ryepier.sidecar.request_parsing import RequestError
 from ryepier.sidecar.request_reader import MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestReader
 from ryepier.sidecar.upstream_connection import ResponseReader, ResponseTooLongError
@@ -37,11 +38,18 @@
 MAX_DESCRIPTOR_LIMIT = 1024  # the largest limit that the platform sets, with any limit on memory
 ERROR_LIMIT_S = 3.0  # a stranger is owed an error or a close within this time of connecting
 READ_BYTES = 256 * 1024  # the most bytes that asyncio reads from a socket at a time
+MAX_GROWTH_MB = 3.0  # of the memory, through half requests beside 3,200 converters
 SHORT_LINE = b"ab:c\r\n"
 LONG_CHUNK = b"1;" + b"n" * 100 + b"\r\nx\r\n"  # a byte with a long chunk extension
 HEAD_START = b"POST /pay HTTP/1.1\r\nHost: api.internal\r\n"
 
 
+def resident_memory_mb(pid: int, peak: bool = False) -> float:
+    """Return a process's memory in MiB with the pages of its files, now or at its peak."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.split("VmHWM:" if peak else "VmRSS:")[1].split()[0]) / 1024
+
+
 def request_with_short_lines(byte_count: int) -> bytes:
     """Return a complete request whose head has `byte_count` bytes of short header lines."""
     return request("pay", extra=(SHORT_LINE * (byte_count // len(SHORT_LINE))).decode(), body=b"x")
@@ -107,6 +115,30 @@
     run_async(test)
 
 
+# Guards against the kill for memory: beside a long endpoint list half requests took as much as beside a short one, and
+# the smallest limit was passed.
+@pytest.mark.alone
+def test_half_requests_beside_a_long_endpoint_list_take_little_memory(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = Upstream(respond_in_turn(OK))
+        async with limited_sidecar(tmp_path, upstream, free_port(), converter_count=3200) as sidecar:
+            ready_mb = resident_memory_mb(sidecar.pid)
+            data = STRANGER_INPUT["longest body"]
+            strangers = [asyncio.create_task(be_stranger(sidecar, data)) for _ in range(DESCRIPTOR_LIMIT // 3)]
+            await asyncio.gather(*strangers)
+            assert b" 200 " in await sidecar.fetch()
+            assert resident_memory_mb(sidecar.pid, peak=True) - ready_mb < MAX_GROWTH_MB
+
+    run_async(test)
+
+
+def test_requests_may_take_less_memory_where_less_is_left() -> None:
+    megabyte = 1024 * 1024
+    assert max_buffered_bytes(192, 20 * megabyte) == 24 * megabyte
+    assert max_buffered_bytes(32, 30 * megabyte) == megabyte // 2
+    assert max_buffered_bytes(32, 40 * megabyte) == MIN_BUFFERED_BYTES
+
+
 # Guards against limits that depend on how the bytes arrive: a long head in one read was accepted and forwarded.
 @pytest.mark.parametrize("data", [request_with_short_lines(MAX_HEAD_BYTES), request("pay", extra="a:b\r\n" * 150)])
 @pytest.mark.parametrize("part_bytes", [1, 1000, READ_BYTES])
