Answer a long request that is rejected in a crowd without a reset

Cause: a waiting connection without a place was closed after one read of 8 KiB. Unread bytes of a longer request reset the connection, and the client lost its 503.

Change: what has arrived is read first, up to the limit of a chunked request.

Measured: the test with a body of 60,000 bytes gets a reset before and a 503 now.

--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -19,7 +19,7 @@
 from ryepier.sidecar.request_buffers import RequestBuffers
 from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.request_parsing import Dialect, PlatformDialect, RequestError
-from ryepier.sidecar.request_reader import RequestReader
+from ryepier.sidecar.request_reader import MAX_CHUNKED_BYTES, RequestReader
 from ryepier.sidecar.requests import Address
 
 log = logging.getLogger(__name__)
@@ -166,8 +166,13 @@
     def reject_waiting(self, sock: socket.socket) -> None:
         """Reject what has arrived on an accepted connection, if anything has, and close it."""
         log.info("connection closed after a long wait: all %d are in use", self.max_clients)
-        with contextlib.suppress(OSError):  # nothing has arrived, or the connection was reset
-            if sock.recv(READ_BYTES):  # a close over unread bytes would reset the connection
+        received_bytes = 0
+        with contextlib.suppress(OSError):  # nothing more has arrived, or the connection was reset
+            # A close over unread bytes would reset the connection, and the client might lose the response.
+            while received_bytes < MAX_CHUNKED_BYTES and (data := sock.recv(READ_BYTES)):
+                received_bytes += len(data)
+        with contextlib.suppress(OSError):
+            if received_bytes:
                 sock.send(render_rejection(self.partial_retry_after_us))
         sock.close()
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -20,6 +20,7 @@
     sidecar,
     status_of,
 )
+from tests.sidecar_probes import record_servers
 
 PLACES = 100  # of the sidecar, which may use 200 descriptors
 CROWD = 9 * PLACES  # less than the listener's queue holds, with the request
@@ -71,3 +72,21 @@
         assert told_ms > DEADLINE_MS - 500
 
     run_async(test)
+
+
+def test_long_request_that_is_rejected_unserved_gets_its_answer_and_no_reset(monkeypatch: pytest.MonkeyPatch) -> None:
+    servers = record_servers(monkeypatch)
+
+    async def test() -> None:
+        async with sidecar(Upstream(respond_in_turn(OK))):
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                client = socket.create_connection(listener.getsockname())
+                accepted, _ = listener.accept()
+                client.sendall(request("pay", body=b"x" * 60_000))
+                accepted.setblocking(False)
+                servers[0].reject_waiting(accepted)
+                answer = await asyncio.to_thread(client.recv, 1000)
+                assert answer.startswith(b"HTTP/1.1 503 ") and client.recv(1) == b""
+                client.close()
+
+    run_async(test)
