Give each simulated start of a sidecar its cached list

Cause: since the cached list is dropped once it is applied, a simulated sidecar that started again had none, as its configuration is one object for all its starts.

Change: the simulation passes a copy to each start.

--- a/ryepier/emulator/simulated_processes.py
+++ b/ryepier/emulator/simulated_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import contextvars
 from collections.abc import Coroutine
 from typing import Any
@@ -112,7 +113,7 @@
 
     def run(self) -> Coroutine[Any, Any, None]:
         """Return the coroutine that serves requests until `stop_event` is set."""
-        return serve(self.config, self.stop_event, asyncio.Event(), self.components)
+        return serve(dataclasses.replace(self.config), self.stop_event, asyncio.Event(), self.components)
 
 
 class SimulatedPlanner(SimulatedProcess):
--- a/ryepier/sidecar/serving.py
+++ b/ryepier/sidecar/serving.py
@@ -45,7 +45,10 @@
     reload: asyncio.Event,
     components: Components = PLATFORM_COMPONENTS,
 ) -> None:
-    """Serve until `stop` is set, then shut down gracefully; `reload` triggers a reload of the configuration file."""
+    """Serve until `stop` is set, then shut down gracefully; `reload` triggers a reload of the configuration file.
+
+    The cached list of `sidecar_config` is dropped once it is applied, as a long one takes megabytes.
+    """
     max_connections = sidecar_config.max_descriptors * 3 // 8
     pool = ConnectionPool(
         sidecar_config.upstream_idle_timeout_us, sidecar_config.settings.connect_timeout_us, max_connections
