--- a/ryepier/emulator/simulated_processes.py
+++ b/ryepier/emulator/simulated_processes.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import contextvars
+import dataclasses
 from collections.abc import Coroutine
 from typing import Any
 
