--- a/ryepier/sidecar/accept_queue.py
+++ b/ryepier/sidecar/accept_queue.py
@@ -1,41 +1,59 @@
-"""Estimates how long a connection has waited in the listener's queue, which the operating system does not tell."""
+"""Bounds the arrival times of connections in a listener's queue, which the operating system does not tell."""
 
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 
 
-class AcceptQueue:
-    """Tracks the connections that are accepted from a queue of limited length, in the order of their arrival."""
+@dataclass(slots=True)
+class QueueSample:
+    """How many connections had arrived, at the most, up to a time."""
 
-    def __init__(self, max_length: int) -> None:
-        """Start with an empty queue that holds up to `max_length` connections (listen(2) allows one more)."""
-        self.accepted_at: deque[float] = deque(maxlen=max_length + 1)
-        self.waiting_since: float | None = None  # time since which connections may wait; None: the queue was empty
+    arrived_count: int
+    at: float
 
-    def on_empty(self) -> None:
-        """Record that no connection waits."""
-        self.waiting_since = None
-        self.accepted_at.clear()
 
-    def on_left_waiting(self, now: float) -> None:
-        """Record that connections may stay in the queue."""
-        if self.waiting_since is None:
-            self.waiting_since = now
+class AcceptQueue:
+    """Derives from the queue's length over time when each connection arrived.
+
+    Connections leave the queue in the order of their arrival and are counted in it, so one whose number exceeds the
+    connections of a sample arrived after that sample.
+    """
+
+    def __init__(self, backlog: int) -> None:
+        """Start with an empty queue of this backlog (listen(2) allows one connection more)."""
+        self.max_length = backlog + 1
+        self.accepted_count = 0
+        # In the order of time. The first one is the last before the arrival of the connection that is accepted next.
+        # Empty: no connection waits.
+        self.samples: deque[QueueSample] = deque()
+
+    def observe(self, length: int | None, now: float) -> None:
+        """Record how many connections wait now; None means that the system does not tell."""
+        if length == 0:
+            self.samples.clear()
+            return
+        if not self.samples:
+            self.samples.append(QueueSample(self.accepted_count, now))
+        arrived_count = self.accepted_count + (self.max_length if length is None else length)
+        latest = self.samples[-1]
+        if arrived_count <= latest.arrived_count:
+            latest.at = now
+        else:
+            self.samples.append(QueueSample(arrived_count, now))
 
     def has_waited(self, duration_s: float, now: float) -> bool:
-        """Return whether connections have been waiting, these or others, for a time."""
-        return self.waiting_since is not None and now - self.waiting_since > duration_s
+        """Return whether the connection that is accepted next may have waited for longer than a time."""
+        return bool(self.samples) and now - self.samples[0].at > duration_s
 
-    def on_accepted(self, now: float) -> float | None:
-        """Record that a connection is accepted now, and return the earliest time at which it may have arrived.
+    def on_accepted(self) -> float | None:
+        """Record that a connection was accepted, and return the earliest time at which it may have arrived.
 
-        None means that it has just arrived. A connection that was accepted a whole queue's length earlier had left the
-        queue when this one came.
+        None means that it has just arrived.
         """
-        if self.waiting_since is None:
-            return None
-        is_full = len(self.accepted_at) == self.accepted_at.maxlen
-        arrived_at = max(self.waiting_since, self.accepted_at[0]) if is_full else self.waiting_since
-        self.accepted_at.append(now)
-        return arrived_at
+        arrived_after = self.samples[0].at if self.samples else None
+        self.accepted_count += 1
+        while len(self.samples) > 1 and self.samples[1].arrived_count <= self.accepted_count:
+            self.samples.popleft()
+        return arrived_after
--- a/ryepier/sidecar/read_pacer.py
+++ b/ryepier/sidecar/read_pacer.py
@@ -91,6 +91,11 @@
             self._parse(connection, data)
         self._schedule_turn()
 
+    def count_unparsed(self, byte_count: int) -> None:
+        """Count bytes that were read in this iteration but not parsed."""
+        self.turn_work += byte_count // BYTES_PER_UNIT
+        self._schedule_turn()
+
     @staticmethod
     def _is_heavy(connection: PacedProtocol) -> bool:
         now = system.monotonic()
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -3,35 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
-import logging
 import socket
 from collections.abc import Iterator
 from typing import NamedTuple
 
 from ryepier.balancer.interface import Settings
 from ryepier.sidecar import system
-from ryepier.sidecar.accept_queue import AcceptQueue
-from ryepier.sidecar.client_connection import STATE_TIMEOUTS_S, ClientConnection, ClientState, render_rejection
+from ryepier.sidecar.client_connection import STATE_TIMEOUTS_S, ClientConnection, ClientState
+from ryepier.sidecar.client_listener import ACCEPT_BATCH_SIZE, ClientListener
 from ryepier.sidecar.dispatcher import RequestDispatcher
-from ryepier.sidecar.read_pacer import READ_BYTES, ReadPacer
+from ryepier.sidecar.read_pacer import ReadPacer
 from ryepier.sidecar.request_buffers import RequestBuffers
 from ryepier.sidecar.request_ids import RecentRequestIds
-from ryepier.sidecar.request_parsing import Dialect, PlatformDialect, RequestError
-from ryepier.sidecar.request_reader import MAX_CHUNKED_BYTES, RequestReader
+from ryepier.sidecar.request_parsing import Dialect, PlatformDialect
 from ryepier.sidecar.requests import Address
 
-log = logging.getLogger(__name__)
-
 FIRST_REQUEST_GRACE_S = 0.25  # new connections are not evicted for this long, as clients send a request at once
 CROWD_GRACE_S = 0.03  # the same while connections wait for long
 QUEUE_PATIENCE_SHARE = 0.25  # of the shortest deadline; after this wait a crowd has to move on
 SPARE_CLIENTS_SHARE = 8  # one more connection for this many, for requests that have waited so long
 SWEEP_INTERVAL_S = 0.1
-LISTEN_BACKLOG = 1024
-ACCEPT_BATCH_SIZE = 16  # connections per loop iteration; accepting hundreds at once would delay the open ones
-ACCEPT_PAUSE_S = 0.05  # time until accepting is tried again after there was no capacity
 PARTIAL_RETRY_AFTER_US = 250_000  # Retry-After of rejected partial requests, whose class may be unknown yet
 
 
@@ -79,7 +71,6 @@
         """
         self.loop = asyncio.get_running_loop()
         self.dispatcher = dispatcher
-        self.address = address
         self.dialect = dialect or PlatformDialect(settings)
         self.recent_ids = RecentRequestIds(max(request_class.deadline_us for request_class in settings.classes) / 1e6)
         self.max_clients = max_clients
@@ -90,11 +81,9 @@
         self.request_buffers = RequestBuffers[ClientConnection](max_buffered_bytes)
         self.connection_start_tasks: set[asyncio.Task[object]] = set()
         self.read_pacer = ReadPacer()
-        self.accept_queue = AcceptQueue(LISTEN_BACKLOG)
         shortest_deadline_us = min(request_class.deadline_us for request_class in settings.classes)
-        self.queue_patience_s = QUEUE_PATIENCE_SHARE * shortest_deadline_us / 1e6
+        self.listener = ClientListener(self, address, QUEUE_PATIENCE_SHARE * shortest_deadline_us / 1e6)
         self.is_stopping = False
-        self.sock: socket.socket | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -113,91 +102,22 @@
 
     def listen(self) -> None:
         """Start listening, accepting connections, and checking state timeouts."""
-        self.sock = system.listen(self.address, LISTEN_BACKLOG)
-        self.sock.setblocking(False)
-        self.loop.add_reader(self.sock, self.accept)
+        self.listener.open()
         self.sweep()
 
-    def accept(self) -> None:
-        """Accept a batch of waiting connections.
-
-        asyncio's own server would accept all of them at once, and pause for a second if no descriptor is left.
-        """
-        self.accept_up_to(ACCEPT_BATCH_SIZE)
-
-    def accept_up_to(self, limit: int) -> None:
-        """Accept up to `limit` waiting connections.
+    def add_connection(self, sock: socket.socket, arrived_after: float | None) -> None:
+        """Start to serve an accepted connection.
 
-        If there is no capacity for too long, a connection is accepted only to look at it: one with a complete request
-        gets a spare connection, any other is rejected or, if it is silent, closed. Otherwise requests would wait behind
-        a crowd for longer than their time.
+        It has not arrived before `arrived_after`; None means that it has just arrived.
         """
-        assert self.sock is not None
-        for _ in range(limit):
-            has_capacity = self.connection_count() < self.max_clients or self.free_capacity()
-            if not has_capacity and not self.is_queue_overdue():
-                self.pause_accepting()
-                return
-            try:
-                sock, _ = self.sock.accept()
-            except BlockingIOError:
-                self.accept_queue.on_empty()
-                return
-            except OSError as error:
-                log.warning("connection not accepted: %r", error)
-                self.free_capacity()
-                self.pause_accepting()
-                return
-            sock.setblocking(False)
-            waiting_since = self.accept_queue.on_accepted(system.monotonic())
-            if has_capacity or (self.has_spare_connection() and self.holds_request(sock)):
-                self.add_connection(sock, waiting_since)
-            else:
-                self.reject_waiting(sock)
-        self.accept_queue.on_left_waiting(system.monotonic())
-        # Without waiting for the listener to be readable, as only an attempt shows that the queue is empty.
-        self.loop.remove_reader(self.sock)
-        self.loop.call_soon(self.resume_accepting)
-
-    def is_queue_overdue(self) -> bool:
-        """Return whether connections wait in the listener's queue for so long that requests may come too late."""
-        return self.accept_queue.has_waited(self.queue_patience_s, system.monotonic())
-
-    def reject_waiting(self, sock: socket.socket) -> None:
-        """Reject what has arrived on an accepted connection, if anything has, and close it."""
-        log.info("connection closed after a long wait: all %d are in use", self.max_clients)
-        received_bytes = 0
-        with contextlib.suppress(OSError):  # nothing more has arrived, or the connection was reset
-            # A close over unread bytes would reset the connection, and the client might lose the response.
-            while received_bytes < MAX_CHUNKED_BYTES and (data := sock.recv(READ_BYTES)):
-                received_bytes += len(data)
-        with contextlib.suppress(OSError):
-            if received_bytes:
-                sock.send(render_rejection(self.partial_retry_after_us))
-        sock.close()
-
-    def add_connection(self, sock: socket.socket, waiting_since: float | None) -> None:
-        """Start to serve an accepted connection; its first bytes may have arrived since `waiting_since`."""
         client = ClientConnection(self, sock)
-        if waiting_since is not None and not client.has_no_unread_bytes():
-            client.unread_since = waiting_since
+        if arrived_after is not None and not client.has_no_unread_bytes():
+            client.unread_since = arrived_after
         self.clients_by_state[ClientState.NEW][client] = None
         task = self.loop.create_task(self.start_connection(client, sock))
         self.connection_start_tasks.add(task)
         task.add_done_callback(self.connection_start_tasks.discard)
 
-    def holds_request(self, sock: socket.socket) -> bool:
-        """Return whether a complete request waits in a socket; it stays there."""
-        reader = RequestReader()
-        try:
-            reader.feed(sock.recv(READ_BYTES, socket.MSG_PEEK))
-        except (OSError, RequestError):  # nothing has arrived, the connection was reset, or it is no proper request
-            return False
-        finally:
-            self.read_pacer.turn_work += reader.callback_count
-            reader.release()
-        return reader.is_complete
-
     async def start_connection(self, client: ClientConnection, sock: socket.socket) -> None:
         """Create the transport of an accepted connection, which starts reading from it."""
         try:
@@ -206,21 +126,12 @@
             self.remove(client)
             sock.close()
 
-    def pause_accepting(self) -> None:
-        """Stop accepting for ACCEPT_PAUSE_S. The listener stays readable, so the event loop would otherwise spin."""
-        if self.sock is not None:
-            self.accept_queue.on_left_waiting(system.monotonic())
-            self.loop.remove_reader(self.sock)
-            self.loop.call_later(ACCEPT_PAUSE_S, self.resume_accepting)
-
-    def resume_accepting(self) -> None:
-        """Accept connections again after a pause."""
-        if self.sock is not None:
-            self.loop.add_reader(self.sock, self.accept)
-            self.accept()
-
     # Capacity
 
+    def has_capacity(self) -> bool:
+        """Return whether a connection may be opened, if need be after an eviction."""
+        return self.connection_count() < self.max_clients or self.free_capacity()
+
     def free_capacity(self) -> bool:
         """Evict a connection that has no open request.
 
@@ -235,7 +146,7 @@
                 continue
             for client in list(itertools.islice(self.evictable(rule), ACCEPT_BATCH_SIZE)):
                 client.reject_partial("its connection is needed")
-        return (self.is_queue_overdue() and self.evict(CROWD_EVICTION_RULE)) or self.evict(LAST_EVICTION_RULE)
+        return (self.listener.is_overdue() and self.evict(CROWD_EVICTION_RULE)) or self.evict(LAST_EVICTION_RULE)
 
     def evict(self, rule: EvictionRule) -> bool:
         """Close the connection that a rule names first, and return whether there was one."""
@@ -261,8 +172,8 @@
             ):
                 yield client
 
-    def has_spare_connection(self) -> bool:
-        """Return whether a connection may be opened beyond `max_clients`."""
+    def has_spare_capacity(self) -> bool:
+        """Return whether a connection may be opened beyond `max_clients`, for a request that has waited too long."""
         return self.connection_count() < self.max_clients + self.max_clients // SPARE_CLIENTS_SHARE
 
     def change_state(self, client: ClientConnection, state: ClientState) -> None:
@@ -332,12 +243,8 @@
                     client.close()
 
     def stop_listening(self) -> None:
-        """Accept the waiting connections, then close the listener, which would reset any that still wait."""
-        if self.sock is not None:
-            self.accept_up_to(self.max_clients)
-            self.loop.remove_reader(self.sock)
-            self.sock.close()
-            self.sock = None
+        """Accept the waiting connections, then stop listening."""
+        self.listener.close()
 
     def reject_partial_requests(self) -> None:
         """Reject partial requests, as the rest of them may arrive too late for the shutdown."""
--- a/ryepier/sidecar/system.py
+++ b/ryepier/sidecar/system.py
@@ -8,11 +8,17 @@
 import contextlib
 import resource
 import socket
+import struct
+import sys
 import time
 from collections.abc import Callable
 
 Address = tuple[str, int]  # host, port
 
+# struct tcp_info of Linux: of a listening socket, tcpi_unacked is the length of the queue that accept(2) takes from
+TCP_STATE_LISTEN = 10
+TCP_UNACKED_FORMAT = struct.Struct("=24xI")
+TCP_INFO: int | None = getattr(socket, "TCP_INFO", None) if sys.platform == "linux" else None
 TCP_QUICKACK: int | None = getattr(socket, "TCP_QUICKACK", None)  # socket option, only on Linux
 
 
@@ -24,6 +30,20 @@
     return socket.create_server(address, backlog=backlog)
 
 
+def _accept_queue_length(sock: socket.socket) -> int | None:
+    """Return how many connections wait to be accepted from a listening socket, or None if the system does not tell."""
+    if TCP_INFO is None:
+        return None
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, TCP_INFO, TCP_UNACKED_FORMAT.size)
+    except OSError:
+        return None
+    if len(info) < TCP_UNACKED_FORMAT.size or info[0] != TCP_STATE_LISTEN:
+        return None
+    length: int = TCP_UNACKED_FORMAT.unpack(info)[0]
+    return length
+
+
 def acknowledge_received(sock: socket.socket) -> None:
     """Acknowledge the bytes that were read from a TCP socket at once.
 
@@ -49,6 +69,7 @@
 unix_ns: Callable[[], int] = time.time_ns
 tcp_socket: Callable[[int], socket.socket] = _tcp_socket
 listen: Callable[[Address, int], socket.socket] = _listen
+accept_queue_length: Callable[[socket.socket], int | None] = _accept_queue_length
 resident_bytes: Callable[[], int] = _resident_bytes
 
 
--- a/ryepier/sim/run.py
+++ b/ryepier/sim/run.py
@@ -8,7 +8,7 @@
 import heapq
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
-from typing import Any, TypeVar, cast
+from typing import Any, TypeVar
 
 from ryepier.errors import RyepierError
 from ryepier.sidecar import system
@@ -232,16 +232,22 @@
 @contextlib.contextmanager
 def _replace_system(loop: SimLoop) -> Iterator[None]:
     """Replace the clocks and sockets of `sidecar.system` with those of the loop within the context."""
-    originals = system.monotonic_ns, system.unix_ns, system.tcp_socket, system.listen, system.resident_bytes
-    system.monotonic_ns = lambda: round(loop.time() * 1e9)
-    system.unix_ns = lambda: UNIX_EPOCH_NS + round(loop.unix_s() * 1e9)
-    system.tcp_socket = cast(Any, lambda family: SimSocket(loop.network))
-    system.listen = cast(Any, loop.network.listen)
-    system.resident_bytes = lambda: 0
+    replacements = {
+        "monotonic_ns": lambda: round(loop.time() * 1e9),
+        "unix_ns": lambda: UNIX_EPOCH_NS + round(loop.unix_s() * 1e9),
+        "tcp_socket": lambda family: SimSocket(loop.network),
+        "listen": loop.network.listen,
+        "accept_queue_length": lambda sock: len(sock.pending_connections),
+        "resident_bytes": lambda: 0,
+    }
+    originals = {name: getattr(system, name) for name in replacements}
     try:
+        for name, replacement in replacements.items():
+            setattr(system, name, replacement)
         yield
     finally:
-        system.monotonic_ns, system.unix_ns, system.tcp_socket, system.listen, system.resident_bytes = originals
+        for name, original in originals.items():
+            setattr(system, name, original)
 
 
 def simulate(seed: int, main: Callable[[SimLoop], Awaitable[T]]) -> T:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -8,9 +8,10 @@
 
 import pytest
 
-from ryepier.sidecar.server import ACCEPT_BATCH_SIZE
+from ryepier.sidecar.client_listener import ACCEPT_BATCH_SIZE
 from tests.network_peers import (
     OK,
+    Sidecar,
     Upstream,
     read_message,
     request,
@@ -25,6 +26,7 @@
 PLACES = 100  # of the sidecar, which may use 200 descriptors
 CROWD = 9 * PLACES  # less than the listener's queue holds, with the request
 DEADLINE_MS = 1_500
+LONG_DEADLINE_MS = 3_000
 CROWD_INPUT = {"idle": b"", "half a request": request("pay", body=b"0123456789")[:-5]}
 
 
@@ -53,6 +55,43 @@
     run_async(test)
 
 
+async def keep_sending_half_a_request(running_sidecar: Sidecar, finished: asyncio.Event) -> set[bytes]:
+    """Connect again whenever the sidecar ends a connection, and return the first lines of all answers."""
+    answers = set()
+    while not finished.is_set():
+        reader, writer = await running_sidecar.connect()
+        writer.write(CROWD_INPUT["half a request"])
+        answers.add((await reader.read()).partition(b"\r\n")[0])
+        writer.close()
+    return answers
+
+
+# Guards against fresh requests that count as late: the time since the listener's queue was last empty was taken for the
+# wait of each connection in it, so a crowd that keeps it short but never empty cost every request its whole time.
+@pytest.mark.alone
+def test_request_behind_a_moving_crowd_has_nearly_its_full_time() -> None:
+    async def test() -> None:
+        upstream, finished = Upstream(respond_in_turn(OK)), asyncio.Event()
+        classes = [dataclasses.replace(item, deadline_us=LONG_DEADLINE_MS * 1000) for item in request_classes()]
+        async with sidecar(upstream, classes=classes) as running_sidecar:
+            crowd = [
+                asyncio.create_task(keep_sending_half_a_request(running_sidecar, finished)) for _ in range(2 * PLACES)
+            ]
+            await asyncio.sleep(LONG_DEADLINE_MS / 1000)
+            reader, writer = await running_sidecar.connect()
+            writer.write(request("pay", deadline_ms=LONG_DEADLINE_MS))
+            async with asyncio.timeout(LONG_DEADLINE_MS / 1000):
+                assert status_of(await read_message(reader)) == 200
+            writer.close()
+            finished.set()
+            answers = set().union(*await asyncio.gather(*crowd))
+        [told_ms] = [int(head.split(b"X-Deadline-Ms: ")[1].split(b"\r\n")[0]) for head, _ in upstream.requests]
+        assert told_ms > LONG_DEADLINE_MS / 2
+        assert answers <= {b"HTTP/1.1 503 Service Unavailable", b"HTTP/1.1 408 Request Timeout"}
+
+    run_async(test)
+
+
 # Guards against requests that count as late though they have just arrived, after connections that came together.
 @pytest.mark.parametrize("count", [ACCEPT_BATCH_SIZE, PLACES])
 def test_request_long_after_connections_that_came_together_has_its_full_time(count: int) -> None:
@@ -84,7 +123,7 @@
                 accepted, _ = listener.accept()
                 client.sendall(request("pay", body=b"x" * 60_000))
                 accepted.setblocking(False)
-                servers[0].reject_waiting(accepted)
+                servers[0].listener.reject(accepted)
                 answer = await asyncio.to_thread(client.recv, 1000)
                 assert answer.startswith(b"HTTP/1.1 503 ") and client.recv(1) == b""
                 client.close()
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -136,7 +136,7 @@
 
     def connect_then_stop_listening(self: Server) -> None:
         for _ in range(40):  # more than the server accepts in one iteration of the event loop
-            late_connections.append(socket.create_connection(self.address))
+            late_connections.append(socket.create_connection(self.listener.address))
             late_connections[-1].sendall(request())
         stop_listening(self)
 
