--- a/ryepier/sidecar/client_connection.py
+++ b/ryepier/sidecar/client_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import enum
-import functools
 import http
 import logging
 import socket
@@ -13,7 +12,6 @@
 from ryepier.sidecar import system
 from ryepier.sidecar.dispatcher import RequestDispatcher
 from ryepier.sidecar.read_pacer import REQUEST_WORK, PacedProtocol, ReadPacer
-from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.request_parsing import READINESS_PATH, Dialect, RequestError, Response, retry_after_line
 from ryepier.sidecar.request_reader import RequestReader
 from ryepier.sidecar.requests import ClientRequest, FinalAnswer
@@ -67,7 +65,6 @@
 
     dialect: Dialect
     dispatcher: RequestDispatcher
-    recent_ids: RecentRequestIds
     partial_retry_after_us: int  # Retry-After of rejected partial requests; 0 = no such header
     read_pacer: ReadPacer
     is_stopping: bool  # the server shuts down: each response is the last of its connection
@@ -194,7 +191,7 @@
             self.write(Response(200 if self.server.is_ready else 503))
             return
         request = self.server.dialect.parse(reader.method, reader.target, reader.headers, bytes(reader.body))
-        if not self.server.recent_ids.add(request.request_id):
+        if not self.server.dispatcher.recent_ids.add(request.request_id):
             # An upstream that is working on the same id would reject this request, and the response to one client's
             # request might reach the other client.
             raise RequestError(409, "this X-Request-Id has been used")
@@ -206,7 +203,6 @@
         self.read_pacer.turn_work += REQUEST_WORK
         self.server.change_state(self, ClientState.PROCESSING)
         request.client_disconnected = self.client_disconnected
-        request.on_never_sent = functools.partial(self.server.recent_ids.discard, request.request_id)
         self.request_ident = self.server.dispatcher.on_request(request, self.respond)
 
     def client_disconnected(self) -> bool:
--- a/ryepier/sidecar/dispatcher.py
+++ b/ryepier/sidecar/dispatcher.py
@@ -16,6 +16,7 @@
 from ryepier.balancer import interface as api
 from ryepier.balancer.balancer import Balancer
 from ryepier.sidecar.observers import Observer, ObserverGroup, RetryDetector
+from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.requests import (
     Address,
     AttemptResult,
@@ -123,6 +124,8 @@
         self.subscribe: Callable[[bool], None] = lambda active: None
         self.observer: Observer | None = None
         self.retry_detector: RetryDetector | None = None
+        # Of all front ends: an upstream that two of them sent the same id would run it twice.
+        self.recent_ids = RecentRequestIds(max(request_class.deadline_us for request_class in settings.classes) / 1e6)
         self.requests: dict[int, OpenRequest] = {}
         self.addresses: dict[int, Address] = {}
         self.last_ident = 0
@@ -320,7 +323,7 @@
         """Mark a request as answered or abandoned, and cancel its attempts that were not written completely."""
         open_request.closed = True
         if not open_request.attempts:
-            open_request.request.on_never_sent()
+            self.recent_ids.discard(open_request.request.request_id)
         if open_request.timer is not None:
             open_request.timer.cancel()
         for attempt_index, attempt in enumerate(open_request.attempts):
--- a/ryepier/sidecar/requests.py
+++ b/ryepier/sidecar/requests.py
@@ -19,10 +19,6 @@
     return False
 
 
-def do_nothing() -> None:
-    """Do nothing; the default for requests whose end without an attempt is of no interest."""
-
-
 @dataclass(slots=True, eq=False, repr=False)
 class ClientRequest(Record):
     """A client's request as it was read. Times are in microseconds of `clock_us`."""
@@ -44,8 +40,6 @@
     accepted_type: bytes = b""  # media type that the client accepts; empty if the front end does not read it
     # Checks whether the client has disconnected, even if the event loop has not read that yet.
     client_disconnected: Callable[[], bool] = never_disconnects
-    # Called when the request is closed without an attempt, so that no upstream has seen it.
-    on_never_sent: Callable[[], None] = do_nothing
 
 
 class FinalOutcome(enum.Enum):
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -15,7 +15,6 @@
 from ryepier.sidecar.dispatcher import RequestDispatcher
 from ryepier.sidecar.read_pacer import ReadPacer
 from ryepier.sidecar.request_buffers import RequestBuffers
-from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.request_parsing import Dialect, PlatformDialect
 from ryepier.sidecar.requests import Address
 
@@ -72,7 +71,6 @@
         self.loop = asyncio.get_running_loop()
         self.dispatcher = dispatcher
         self.dialect = dialect or PlatformDialect(settings)
-        self.recent_ids = RecentRequestIds(max(request_class.deadline_us for request_class in settings.classes) / 1e6)
         self.max_clients = max_clients
         max_retry_after_us = settings.max_retry_after_us if settings.retry_after else 0
         self.partial_retry_after_us = min(PARTIAL_RETRY_AFTER_US, max_retry_after_us)
--- a/tests/test_graphql_front.py
+++ b/tests/test_graphql_front.py
@@ -231,6 +231,20 @@
     run_with_front_end(tmp_path, respond_in_turn(http_response(200, "{}")), test, settings_text)
 
 
+# Guards against a mutation that runs twice: each front end remembered only the request ids that it had read itself.
+def test_request_id_that_another_front_end_has_forwarded_is_not_forwarded_again(tmp_path: Path) -> None:
+    graphql_port = free_port()
+
+    async def test(client: FrontClient, upstream: ScriptedUpstream) -> None:
+        status, _, _ = await client.fetch(request("pay", "r1", body=b"b", deadline_ms=1000))
+        assert status == 200
+        status, _, _ = await FrontClient(graphql_port).fetch(http_request(MUTATION, X_Request_Id="r1"))
+        assert status == 409 and len(upstream.requests) == 1
+
+    settings_text = GRAPHQL_SETTINGS.replace('path = "/graphql"', f'listen = "127.0.0.1:{graphql_port}"')
+    run_with_front_end(tmp_path, respond_in_turn(http_response(200, "{}")), test, settings_text)
+
+
 def test_connection_stays_open_after_a_request_rejected_for_its_content(tmp_path: Path) -> None:
     async def test(client: FrontClient, upstream: ScriptedUpstream) -> None:
         reader, writer = await asyncio.open_connection("127.0.0.1", client.port)
--- a/tests/test_request_id_memory.py
+++ b/tests/test_request_id_memory.py
@@ -22,10 +22,10 @@
             for number in range(REQUESTS):
                 writer.write(request("pay", f"unsent-{number}", deadline_ms=1))
                 assert status_of(await read_message(reader)) == 503
-            assert len(servers[0].recent_ids) == 0
+            assert len(servers[0].dispatcher.recent_ids) == 0
             writer.write(request("pay", "sent"))
             assert status_of(await read_message(reader)) == 200
-            assert len(servers[0].recent_ids) == 1
+            assert len(servers[0].dispatcher.recent_ids) == 1
             writer.write(request("pay", "sent"))  # it has run, so it may not run again
             assert status_of(await read_message(reader)) == 409
             writer.close()
