--- a/ryepier/sidecar/request_buffers.py
+++ b/ryepier/sidecar/request_buffers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 Client = TypeVar("Client")
@@ -23,31 +24,52 @@
     return max(MIN_BUFFERED_BYTES, min(limit_bytes // MEMORY_SHARE, remaining_bytes // REMAINING_SHARE))
 
 
+@dataclass(slots=True)
+class BufferedRequest:
+    """A request that is buffered, partial or open."""
+
+    byte_count: int
+    since: float  # time of its first bytes
+
+
 class RequestBuffers(Generic[Client]):
-    """The bytes that each client connection buffers for its request, partial or open, and their sum."""
+    """What each client connection buffers for its request, and the sum of the bytes."""
 
     def __init__(self, max_bytes: int) -> None:
         """Start with no requests; `max_bytes` limits the sum."""
         self.max_bytes = max_bytes
         self.total_bytes = 0
-        self.bytes_by_client: dict[Client, int] = {}
+        self.requests: dict[Client, BufferedRequest] = {}
+
+    def __contains__(self, client: Client) -> bool:
+        """Return whether a connection buffers a request."""
+        return client in self.requests
 
-    def set_buffered(self, client: Client, byte_count: int) -> None:
+    def set_buffered(self, client: Client, byte_count: int, now: float) -> None:
         """Set how many bytes a connection buffers now."""
-        self.release(client)
-        self.bytes_by_client[client] = byte_count
-        self.total_bytes += byte_count
+        request = self.requests.setdefault(client, BufferedRequest(0, now))
+        self.total_bytes += byte_count - request.byte_count
+        request.byte_count = byte_count
 
     def release(self, client: Client) -> None:
         """Record that a connection buffers nothing any more."""
-        self.total_bytes -= self.bytes_by_client.pop(client, 0)
+        request = self.requests.pop(client, None)
+        if request is not None:
+            self.total_bytes -= request.byte_count
 
     @property
     def is_over_limit(self) -> bool:
         """Whether all requests together take more than their limit."""
         return self.total_bytes > self.max_bytes
 
-    def largest_of(self, clients: Iterable[Client]) -> Client | None:
-        """Return the one of `clients` that buffers the most bytes, or None if none of them buffers any."""
-        candidates = [client for client in clients if client in self.bytes_by_client]
-        return max(candidates, key=self.bytes_by_client.__getitem__, default=None)
+    def costliest_of(self, clients: Iterable[Client], now: float) -> Client | None:
+        """Return the one of `clients` with the most bytes times the time for which it has held them, or None.
+
+        So a long request that arrives at once is preferred to those that arrive slowly or have stopped.
+        """
+
+        def cost(client: Client) -> tuple[float, int]:
+            request = self.requests[client]
+            return request.byte_count * (now - request.since), request.byte_count
+
+        return max((client for client in clients if client in self.requests), key=cost, default=None)
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -184,18 +184,20 @@
     def account_for_request(self, client: ClientConnection) -> bool:
         """Account for the memory of a connection's request; return False if it was rejected to save memory.
 
-        Above the limit the largest partial requests are rejected: they have not begun, and a client that sends slowly
-        needs little. Open requests are never given up.
+        Above the limit the costliest partial requests are rejected, as they have not begun. Open requests are never
+        given up.
         """
         buffers = self.request_buffers
-        buffers.set_buffered(client, client.reader.buffered_bytes)
+        now = system.monotonic()
+        buffers.set_buffered(client, client.reader.buffered_bytes, now)
         while buffers.is_over_limit:
-            largest = buffers.largest_of(itertools.chain(*(self.clients_by_state[state] for state in READING_STATES)))
-            if largest is None:
+            reading_clients = itertools.chain(*(self.clients_by_state[state] for state in READING_STATES))
+            costliest = buffers.costliest_of(reading_clients, now)
+            if costliest is None:
                 break
-            largest.reject_partial("requests take too much memory")
-            buffers.release(largest)  # also if its connection is closing and nothing more is written
-        return client in buffers.bytes_by_client
+            costliest.reject_partial("requests take too much memory")
+            buffers.release(costliest)  # also if its connection is closing and nothing more is written
+        return client in buffers
 
     def release_request(self, client: ClientConnection) -> None:
         """Record that a connection's request needs no more memory."""
--- a/tests/limited_sidecar.py
+++ b/tests/limited_sidecar.py
@@ -96,10 +96,10 @@
                 return reader, writer
             writer.close()
 
-    async def fetch(self) -> bytes:
+    async def fetch(self, body: bytes = b"") -> bytes:
         """Send a request on a new connection and return the first line of the response."""
         reader, writer = await self.connect_until_open()
-        writer.write(request("pay"))
+        writer.write(request("pay", body=body))
         response = await read_message(reader)
         writer.close()
         return response.head.partition(b"\r\n")[0]
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -40,6 +40,9 @@
 READ_BYTES = 256 * 1024  # the most bytes that asyncio reads from a socket at a time
 MAX_GROWTH_MB = 3.0  # of the memory, through half requests beside 3,200 converters
 TLS_LIBRARIES = ("libssl", "libcrypto", "_ssl", "_hashlib")
+LONG_BODY_BYTES = 60_000
+SLOW_WRITER_BYTES = 50_000
+SLOW_WRITER_PAUSE_S = 0.05
 SHORT_LINE = b"ab:c\r\n"
 LONG_CHUNK = b"1;" + b"n" * 100 + b"\r\nx\r\n"  # a byte with a long chunk extension
 HEAD_START = b"POST /pay HTTP/1.1\r\nHost: api.internal\r\n"
@@ -144,6 +147,36 @@
     run_async(test)
 
 
+async def write_slowly(sidecar: LimitedSidecar, finished: asyncio.Event) -> None:
+    """Send most of a long body at once and the rest slowly, again whenever the sidecar rejects it."""
+    while not finished.is_set():
+        reader, writer = await sidecar.connect_until_open()
+        writer.write(request("pay", body=b"x" * MAX_BODY_BYTES)[:SLOW_WRITER_BYTES])
+        while not reader.at_eof() and not finished.is_set():
+            writer.write(b"x")
+            with contextlib.suppress(TimeoutError, ConnectionError):
+                async with asyncio.timeout(SLOW_WRITER_PAUSE_S):
+                    await reader.read()
+        writer.close()
+
+
+# Guards against long requests of the application that are rejected in favour of slow strangers: the largest partial
+# request was rejected, however quickly it arrived.
+@pytest.mark.alone
+def test_long_requests_are_served_beside_slow_writers(tmp_path: Path) -> None:
+    async def test() -> None:
+        finished = asyncio.Event()
+        async with limited_sidecar(tmp_path, Upstream(respond_in_turn(OK)), free_port()) as sidecar:
+            writers = [asyncio.create_task(write_slowly(sidecar, finished)) for _ in range(DESCRIPTOR_LIMIT // 3)]
+            await asyncio.sleep(0.5)
+            answers = [await sidecar.fetch(body=b"x" * LONG_BODY_BYTES) for _ in range(20)]
+            finished.set()
+            await asyncio.gather(*writers)
+            assert set(answers) == {b"HTTP/1.1 200 OK"}
+
+    run_async(test)
+
+
 def test_requests_may_take_less_memory_where_less_is_left() -> None:
     megabyte = 1024 * 1024
     assert max_buffered_bytes(192, 20 * megabyte) == 24 * megabyte
@@ -267,7 +300,7 @@
             for _, writer in [(slow_reader, slow_writer), *strangers]:
                 writer.close()
             await wait_until(lambda: server.request_buffers.total_bytes == 0)
-            assert not server.request_buffers.bytes_by_client
+            assert not server.request_buffers.requests
 
     run_async(test)
 
