--- a/ryepier/sidecar/discovery.py
+++ b/ryepier/sidecar/discovery.py
@@ -5,13 +5,15 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable, Mapping
-from typing import Any
+from collections import deque
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, NamedTuple
 
 from ryepier.balancer.interface import ListKind, UpstreamsUpdated
 from ryepier.sidecar import system
 from ryepier.sidecar.config import Config
 from ryepier.sidecar.endpoint_registry import EndpointListError, EndpointRegistry
+from ryepier.sidecar.endpoint_updates import EndpointUpdate
 from ryepier.sidecar.endpoint_watch import EndpointWatch
 from ryepier.sidecar.requests import Address
 
@@ -32,6 +34,14 @@
 Listener = Callable[[UpstreamsUpdated, dict[int, Address]], None]
 
 
+class PendingMessage(NamedTuple):
+    """A message with a list or changes that is not read completely yet."""
+
+    watch: EndpointWatch | None  # the watch that brought it
+    address: Address  # of the discovery that sent it
+    parts: Iterator[EndpointUpdate | None]  # None for each part that was read; the last one is the update
+
+
 class DiscoveryClient:
     """Watches the endpoint list that discovery serves, and passes each update to a listener.
 
@@ -64,6 +74,7 @@
         self.agent_has_accepted = False  # a connection since the start
         self.consecutive_malformed_watches = 0  # reset by each valid list
         self.timer: asyncio.TimerHandle | None = None
+        self.pending_messages: deque[PendingMessage] = deque()
 
     def restore_cached_list(self) -> None:
         """Pass the cached list to the listener, if there is a valid one."""
@@ -166,11 +177,47 @@
             self.first_list_received.set()
 
     def on_list(self, message: Any) -> None:
-        """Apply a list or changes. Raises EndpointListError if the message is malformed."""
-        event, addresses = self.registry.apply(message)
-        self.version = event.version
+        """Apply a list or changes, or put it behind earlier ones. Raises EndpointListError if it is malformed.
+
+        A long one is read in parts, each in an iteration of the event loop of its own.
+        """
+        self.pending_messages.append(PendingMessage(self.watch, self.address, self.registry.apply_in_parts(message)))
+        if len(self.pending_messages) == 1:
+            self._read_part()
+
+    def _read_part(self) -> None:
+        """Read a part of the first pending message, and apply the message if that was its last part."""
+        message = self.pending_messages[0]
+        try:
+            update = next(message.parts)
+        except EndpointListError:
+            self._remove_first_message()
+            raise
+        if update is None:
+            self.loop.call_soon(self._read_next_part)
+            return
+        self._remove_first_message()
+        self._apply(update, message)
+
+    def _remove_first_message(self) -> None:
+        self.pending_messages.popleft()
+        if self.pending_messages:
+            self.loop.call_soon(self._read_next_part)
+
+    def _read_next_part(self) -> None:
+        """Read a part in an iteration of its own, and fail the watch that brought the message if it is malformed."""
+        watch = self.pending_messages[0].watch
+        try:
+            self._read_part()
+        except EndpointListError as error:
+            if watch is not None and self.is_current(watch):
+                watch.fail_as_malformed(error)
+
+    def _apply(self, update: EndpointUpdate, message: PendingMessage) -> None:
+        if message.address == self.address:  # the versions of another server are unrelated
+            self.version = update.event.version
         self.consecutive_malformed_watches = 0
-        self.listener(event, addresses)
+        self.listener(update.event, update.addresses)
         self.first_list_received.set()
 
     def on_malformed(self) -> None:
--- a/ryepier/sidecar/dispatcher.py
+++ b/ryepier/sidecar/dispatcher.py
@@ -15,6 +15,7 @@
 
 from ryepier.balancer import interface as api
 from ryepier.balancer.balancer import Balancer
+from ryepier.sidecar.endpoint_updates import EndpointUpdate, EndpointUpdateQueue
 from ryepier.sidecar.observers import Observer, ObserverGroup, RetryDetector
 from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.requests import (
@@ -128,6 +129,9 @@
         self.recent_ids = RecentRequestIds(max(request_class.deadline_us for request_class in settings.classes) / 1e6)
         self.requests: dict[int, OpenRequest] = {}
         self.addresses: dict[int, Address] = {}
+        self.endpoint_updates = EndpointUpdateQueue(
+            self._apply_endpoints, lambda callback: self.timers.call_later(0, callback), self.addresses
+        )
         self.last_ident = 0
         self.shutdown_at_us = 0  # time by which all requests must be answered; 0 = no shutdown in progress
         self.events: deque[api.Event] = deque()
@@ -178,16 +182,24 @@
             self._dispatch(api.ClientDisconnected(ident))
 
     def on_endpoints(self, event: api.UpstreamsUpdated, addresses: dict[int, Address]) -> None:
-        """Apply an endpoint list or changes to it; `addresses` maps the event's upstream ids to their addresses."""
+        """Apply an endpoint list or changes to it; `addresses` maps the event's upstream ids to their addresses.
+
+        A long one is applied in parts, each in an iteration of the event loop of its own.
+        """
+        self.endpoint_updates.add(EndpointUpdate(event, addresses))
+
+    def _apply_endpoints(self, update: EndpointUpdate) -> None:
+        event, addresses = update
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             for upstream in self.addresses.keys() - addresses.keys():
                 self._remove_upstream(upstream)
         for entry in event.upstreams:
+            if entry.state is not api.UpstreamState.READY:
+                self._remove_upstream(entry.id)
+                continue
             if self.addresses.get(entry.id, addresses[entry.id]) != addresses[entry.id]:
                 self._remove_upstream(entry.id)
             self.addresses[entry.id] = addresses[entry.id]
-            if entry.state is not api.UpstreamState.READY:
-                self._remove_upstream(entry.id)
         self._dispatch(event)
 
     def on_plan(self, event: api.PlanUpdated) -> None:
--- a/ryepier/sidecar/endpoint_registry.py
+++ b/ryepier/sidecar/endpoint_registry.py
@@ -4,12 +4,14 @@
 
 import logging
 import socket
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 from ryepier.balancer.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
 from ryepier.errors import RyepierError
 from ryepier.sidecar import system
 from ryepier.sidecar.config import parse_address
+from ryepier.sidecar.endpoint_updates import MAX_ENTRIES_PER_TURN, EndpointUpdate
 from ryepier.sidecar.requests import Address
 from ryepier.sidecar.system import clock_us
 
@@ -46,13 +48,6 @@
     """A message from discovery is malformed."""
 
 
-class EndpointUpdate(NamedTuple):
-    """An endpoint list or changes to it, with the addresses of its entries by upstream id."""
-
-    event: UpstreamsUpdated
-    addresses: dict[int, Address]
-
-
 class ListedEndpoint(NamedTuple):
     """An entry of the endpoint list with its address."""
 
@@ -85,15 +80,26 @@
 
         `kind` overrides the kind that the message states. Raises EndpointListError if the message is malformed.
         """
+        for update in self.apply_in_parts(message, kind):
+            if update is not None:
+                return update
+        raise AssertionError("the last part is the update")
+
+    def apply_in_parts(self, message: Any, kind: ListKind | None = None) -> Iterator[EndpointUpdate | None]:
+        """Convert a message like `apply`, and yield None after each MAX_ENTRIES_PER_TURN entries, last the update."""
         try:
-            return self._apply(message, kind)
+            yield from self._apply_in_parts(message, kind)
         except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
             raise EndpointListError(f"{type(error).__name__}: {error}") from error
 
-    def _apply(self, message: Any, kind: ListKind | None) -> EndpointUpdate:
+    def _apply_in_parts(self, message: Any, kind: ListKind | None) -> Iterator[EndpointUpdate | None]:
         if kind is None:
             kind = ListKind.FULL if message["all"] else ListKind.DELTA
-        endpoints = [self._parse_entry(target) for target in message["targets"]]
+        endpoints: list[ListedEndpoint] = []
+        for target in message["targets"]:
+            if endpoints and len(endpoints) % MAX_ENTRIES_PER_TURN == 0:
+                yield None
+            endpoints.append(self._parse_entry(target))
         if kind is not ListKind.DELTA:
             self._forget_unlisted({target["uid"] for target in message["targets"]})
         for target in message["targets"]:
@@ -110,7 +116,7 @@
             " ".join(f"{target['uid']}={entry.id}:{entry.state.value}" for target, entry in listed_targets),
             extra={"version": event.version},
         )
-        return EndpointUpdate(event, {endpoint.upstream.id: endpoint.address for endpoint in endpoints})
+        yield EndpointUpdate(event, {endpoint.upstream.id: endpoint.address for endpoint in endpoints})
 
     def _forget_unlisted(self, listed_uids: set[str]) -> None:
         self.upstream_ids = {uid: upstream_id for uid, upstream_id in self.upstream_ids.items() if uid in listed_uids}
--- a/ryepier/sidecar/json_stream.py
+++ b/ryepier/sidecar/json_stream.py
@@ -10,8 +10,9 @@
 from ryepier.errors import RyepierError
 
 MAX_OBJECT_BYTES = 4 * 1024 * 1024  # larger than an endpoint list of 10,000 entries
-STRUCTURAL_BYTE = re.compile(rb'["{}\[\]]')
-STRING_END_OR_ESCAPE = re.compile(rb'["\\]')
+# Possessive quantifiers (`++`, `*+`) never backtrack, so each byte is looked at once.
+UP_TO_BRACKET = re.compile(rb'(?:[^"{}\[\]]++|"(?:[^"\\]++|\\.)*+")*+', re.DOTALL)  # or to a string without an end
+REST_OF_STRING = re.compile(rb'(?:[^"\\]++|\\.)*+', re.DOTALL)
 
 
 class JsonStreamError(RyepierError):
@@ -58,21 +59,23 @@
 
     def _find_end(self) -> int:
         """Return the length of the first pending object, or 0 if it is incomplete."""
-        while match := (STRING_END_OR_ESCAPE if self.in_string else STRUCTURAL_BYTE).search(
-            self.pending, self.scanned_bytes
-        ):
-            token, self.scanned_bytes = match.group(), match.end()
-            if token == b"\\":
-                if self.scanned_bytes == len(self.pending):  # the escaped character has not arrived yet
-                    self.scanned_bytes -= 1
-                    return 0
-                self.scanned_bytes += 1
-            elif token == b'"':
-                self.in_string = not self.in_string
-            else:
-                self.depth += 1 if token in b"{[" else -1
-                if self.depth <= 0:
-                    self.depth = 0
-                    return self.scanned_bytes
-        self.scanned_bytes = len(self.pending)
+        while self._skip_to_bracket():
+            self.depth += 1 if self.pending[self.scanned_bytes] in b"{[" else -1
+            self.scanned_bytes += 1
+            if self.depth <= 0:
+                self.depth = 0
+                return self.scanned_bytes
         return 0
+
+    def _skip_to_bracket(self) -> bool:
+        """Advance `scanned_bytes` to the next bracket outside strings; return False if there is none yet."""
+        while True:
+            pattern = REST_OF_STRING if self.in_string else UP_TO_BRACKET
+            match = pattern.match(self.pending, self.scanned_bytes)
+            assert match is not None  # both patterns match the empty string
+            self.scanned_bytes = match.end()
+            if self.pending[self.scanned_bytes : self.scanned_bytes + 1] != b'"':
+                break
+            self.in_string = not self.in_string
+            self.scanned_bytes += 1
+        return not self.in_string and self.scanned_bytes < len(self.pending)
