--- a/ryepier/experiments/catalogue.py
+++ b/ryepier/experiments/catalogue.py
@@ -28,6 +28,7 @@
 from ryepier.experiments.slices import churn, drain
 from ryepier.experiments.slices import outage as slices_outage
 from ryepier.experiments.storms import after_outage, one_sidecar, real_surge
+from ryepier.experiments.strangers import benchmark as strangers
 
 EXPERIMENTS: dict[str, Experiment] = {
     experiment.name: experiment
@@ -71,6 +72,7 @@
         speed.EXPERIMENT,
         endpoint_list.EXPERIMENT,
         failure.EXPERIMENT,
+        strangers.EXPERIMENT,
         load_spread.EXPERIMENT,
         returning.EXPERIMENT,
         overlap.EXPERIMENT,
--- a/ryepier/experiments/scale/call.py
+++ b/ryepier/experiments/scale/call.py
@@ -113,7 +113,17 @@
         return CpuTime(int(used_ns), int(waited_ns))
 
 
-def make_configuration(seed: int, known_count: int, listen: Address, agent: Address, converters: Address) -> str:
+LIMITS: Mapping[str, float] = {"cores": 1.0, "memory_mb": 192, "sockets": 4096}
+
+
+def make_configuration(
+    seed: int,
+    known_count: int,
+    listen: Address,
+    agent: Address,
+    converters: Address,
+    limits: Mapping[str, float] = LIMITS,
+) -> str:
     """Return the JSON configuration of a sidecar, in the platform's format."""
     world: World = load("steady")
     world = msgspec.structs.replace(
@@ -132,7 +142,7 @@
             "discovery": f"{agent[0]}:{agent[1]}",
             "seed": f"{seed * 1000 + known_count:x}",
             "known": make_list(known_count, converters),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
+            "limits": limits,
             "settings": settings,
         }
     )
--- a/ryepier/experiments/scale/call_client.py
+++ b/ryepier/experiments/scale/call_client.py
@@ -41,6 +41,7 @@
         self.start_us = start_us
         self.transport: asyncio.Transport | None = None
         self.data = b""
+        self.awaits_response = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the first call."""
@@ -53,6 +54,7 @@
         """Send a call, timed from `start_us`."""
         assert self.transport is not None
         self.start_us = start_us
+        self.awaits_response = True
         self.target.last_request_number += 1
         self.transport.write(self.target.request % self.target.last_request_number)
 
@@ -63,6 +65,7 @@
         if not separator or len(body) < body_length(head):
             return
         self.data = b""
+        self.awaits_response = False
         self.target.record(self.start_us, served=head[9:12] == b"200")
         self.target.idle_connections.append(self)
 
@@ -71,6 +74,8 @@
         self.target.connection_count -= 1
         if self in self.target.idle_connections:
             self.target.idle_connections.remove(self)
+        if self.awaits_response and not self.data and self.target.resends:
+            self.target.place(self.start_us)
 
 
 @dataclass(slots=True)
@@ -81,6 +86,7 @@
     request: bytes
     idle_connections: list[CallConnection] = field(default_factory=list)
     connection_count: int = 0
+    resends: bool = False  # whether a call whose connection ends without a response is sent once more on another
     last_request_number: int = 0
     due_count: int = 0  # calls that were due in this phase
     served_count: int = 0  # calls answered with status 200 in this phase
@@ -98,8 +104,13 @@
         self.latencies_us = []
 
     def call(self, start_us: int) -> None:
-        """Send a call on an idle connection, or on a new one while there are fewer than `MAX_CONNECTIONS`."""
+        """Count a call, and send it on an idle connection, or on a new one while there are fewer than
+        `MAX_CONNECTIONS`."""
         self.due_count += 1
+        self.place(start_us)
+
+    def place(self, start_us: int) -> None:
+        """Send a call that was due at `start_us`, now or once a new connection is established."""
         if self.idle_connections:
             self.idle_connections.pop().send(start_us)
         elif self.connection_count + len(self.connect_tasks) < MAX_CONNECTIONS:
--- a/ryepier/experiments/seeded_faults.py
+++ b/ryepier/experiments/seeded_faults.py
@@ -19,6 +19,7 @@
 from ryepier.experiments.simulation import seeded_faults as simulation
 from ryepier.experiments.slices import seeded_faults as slices
 from ryepier.experiments.storms import seeded_faults as storms
+from ryepier.experiments.strangers import seeded_faults as strangers
 from ryepier.sidecar import process as sidecar
 
 PLANNER_FAULTS = planners.PLANNER_FAULTS
@@ -31,6 +32,7 @@
     **graphql.SEEDED_FAULTS,
     **simulation.SEEDED_FAULTS,
     **load_spread.SEEDED_FAULTS,
+    **strangers.SEEDED_FAULTS,
 }
 
 
