Move the records of open requests out of the dispatcher's module

Change: OpenRequest, TrackedAttempt, Timer and the log line of an unserved request are in open_requests, unchanged; the log line's logger is named after it. Comments and two names are reworded.

--- a/ryepier/balancer/ejections.py
+++ b/ryepier/balancer/ejections.py
@@ -1,4 +1,4 @@
-"""Index of the ejections in force: how many upstreams are ejected, and when the next one is restored."""
+"""Index of the current ejections: how many upstreams are ejected, and when the next one is restored."""
 
 import heapq
 from typing import NamedTuple
--- a/ryepier/balancer/slow_start.py
+++ b/ryepier/balancer/slow_start.py
@@ -32,8 +32,8 @@
     warming ones unused. As the long-term throughput is a mean over time, its sum over the sidecars does not
     exceed what a warm upstream has served.
 
-    One event gives credit to `MAX_UPSTREAMS_PER_EVENT` upstreams in turn. What an upstream is owed from the
-    events in between is given at its earlier, lower traffic.
+    One event gives credit to `MAX_UPSTREAMS_PER_EVENT` upstreams in turn. An upstream's credit
+    for the events in between is given at its earlier, lower traffic.
     """
 
     def __init__(self, settings: Settings, now_us: int) -> None:
@@ -169,9 +169,9 @@
         credit_total_before = self.credit_total
         self.credit_total += credit
         for upstream, traffic_before in zip(upstreams, earlier_traffic, strict=True):
-            owed = (credit_total_before - upstream.credited_total) * traffic_before
+            deferred_credit = (credit_total_before - upstream.credited_total) * traffic_before
             upstream.credited_total = self.credit_total
-            new_credit = upstream.slow_start_credit + owed + credit * upstream.warming_traffic
+            new_credit = upstream.slow_start_credit + deferred_credit + credit * upstream.warming_traffic
             new_credit = min(new_credit, tuning.MAX_SLOW_START_CREDIT)
             upstream.slow_start_credit = max(upstream.slow_start_credit, new_credit)
             self._update_with_credit(upstream)
--- a/ryepier/check/canonical.py
+++ b/ryepier/check/canonical.py
@@ -21,7 +21,7 @@
 from ryepier.check.model import Model
 from ryepier.check.observations import SentAttempt
 from ryepier.check.state import ModelState
-from ryepier.sidecar import dispatcher
+from ryepier.sidecar.open_requests import OpenRequest
 
 Permutation = dict[int, int]  # new converter ids by converter ids
 DigestFunction = Callable[[ModelState], bytes]
@@ -102,7 +102,7 @@
             request.done,
         )
 
-    def open_request(self, request: dispatcher.OpenRequest) -> tuple[Any, ...]:
+    def open_request(self, request: OpenRequest) -> tuple[Any, ...]:
         return (
             request.ident,
             request.closed,
--- a/ryepier/check/invariants.py
+++ b/ryepier/check/invariants.py
@@ -8,7 +8,8 @@
 from ryepier.balancer.balancer import Balancer
 from ryepier.check.model import Model, Rule, Violation
 from ryepier.check.observations import ClientRequestState, SentAttempt
-from ryepier.sidecar.dispatcher import OpenRequest, RequestDispatcher
+from ryepier.sidecar.dispatcher import RequestDispatcher
+from ryepier.sidecar.open_requests import OpenRequest
 from ryepier.sidecar.requests import FinalAnswer, FinalOutcome
 
 ANSWER_SLACK_US = 20_000  # time after the deadline from which an answer counts as missing
--- a/ryepier/check/seeded_faults.py
+++ b/ryepier/check/seeded_faults.py
@@ -16,7 +16,8 @@
 from ryepier.balancer.upstream import Attempt, PendingRequest
 from ryepier.balancer.wake_ups import WakeUp, WakeUpKind
 from ryepier.check.model import Rule
-from ryepier.sidecar.dispatcher import OpenRequest, RequestDispatcher
+from ryepier.sidecar.dispatcher import RequestDispatcher
+from ryepier.sidecar.open_requests import OpenRequest
 from ryepier.sidecar.requests import AttemptResult, FinalAnswer, FinalOutcome
 
 DELAYED_ANSWER_LEAD_US = 30_000  # how long before the deadline delayed answers are given
--- a/ryepier/sidecar/accept_queue.py
+++ b/ryepier/sidecar/accept_queue.py
@@ -1,4 +1,4 @@
-"""Bounds the arrival times of connections in a listener's queue, which the operating system does not tell."""
+"""Bounds the arrival times of connections in a listener's queue, which the operating system does not report."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
         self.samples: deque[QueueSample] = deque()
 
     def observe(self, length: int | None, now: float) -> None:
-        """Record how many connections wait now; None means that the system does not tell."""
+        """Record how many connections wait now; None means that the system does not report it."""
         if length == 0:
             self.samples.clear()
             return
--- a/ryepier/sidecar/client_listener.py
+++ b/ryepier/sidecar/client_listener.py
@@ -71,7 +71,7 @@
             self.sock = None
 
     def is_overdue(self) -> bool:
-        """Return whether the next connection has waited for so long that its request may come too late."""
+        """Return whether the next connection has waited so much that its request may come too late."""
         return self.queue.has_waited(self.patience_s, system.monotonic())
 
     def accept(self) -> None:
@@ -108,13 +108,13 @@
                 return
             self.serve_or_reject(sock, has_capacity)
         if self.observe_queue(self.sock) != 0:
-            # Without waiting for the listener to be readable: where the system does not tell the queue's length, only
+            # Without waiting for the listener to be readable: where the system does not report the queue's length, only
             # an attempt shows that it is empty.
             self.loop.remove_reader(self.sock)
             self.loop.call_soon(self.resume)
 
     def observe_queue(self, sock: socket.socket) -> int | None:
-        """Record and return how many connections wait, or None if the system does not tell."""
+        """Record and return how many connections wait, or None if the system does not report it."""
         length = system.accept_queue_length(sock)
         self.knows_queue_length = length is not None
         self.queue.observe(length, system.monotonic())
--- a/ryepier/sidecar/discovery.py
+++ b/ryepier/sidecar/discovery.py
@@ -69,7 +69,7 @@
         self.connect_task: asyncio.Task[None] | None = None
         self.last_received_at = 0.0
         self.last_message_at = 0.0  # time of the last message or of the call's start; an empty line counts as a message
-        # Set once a list has arrived since the start, or the agent has told that the cached one is the newest
+        # Set once a list has arrived since the start, or the agent has reported that the cached one is the newest
         self.first_list_received = asyncio.Event()
         self.agent_has_accepted = False  # a connection since the start
         self.consecutive_malformed_watches = 0  # reset by each valid list
--- a/ryepier/sidecar/dispatcher.py
+++ b/ryepier/sidecar/dispatcher.py
@@ -10,13 +10,13 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from ryepier.balancer import interface as api
 from ryepier.balancer.balancer import Balancer
 from ryepier.sidecar.endpoint_updates import EndpointUpdate, EndpointUpdateQueue
 from ryepier.sidecar.observers import Observer, ObserverGroup, RetryDetector
+from ryepier.sidecar.open_requests import OpenRequest, Timer, TrackedAttempt, log_unserved
 from ryepier.sidecar.request_ids import RecentRequestIds
 from ryepier.sidecar.requests import (
     Address,
@@ -24,7 +24,6 @@
     ClientRequest,
     FinalAnswer,
     FinalOutcome,
-    InFlightAttempt,
     UpstreamTransport,
 )
 from ryepier.sidecar.system import clock_us
@@ -35,13 +34,6 @@
 BACKSTOP_DELAY_US = 5_000  # the dispatcher fails a request this long after it is due, if it has no answer yet
 
 
-class Timer(Protocol):
-    """A scheduled callback."""
-
-    def cancel(self) -> None:
-        """Cancel the call, if it has not happened yet."""
-
-
 class Timers(Protocol):
     """The part of an event loop that the dispatcher uses."""
 
@@ -49,69 +41,6 @@
         """Call `callback` after `delay` seconds, unless the returned timer is cancelled first."""
 
 
-@dataclass(slots=True, eq=False, repr=False)
-class TrackedAttempt:
-    """An attempt of an open request."""
-
-    upstream: int
-    sent_at_us: int
-    in_flight: InFlightAttempt | None = None
-    timer: Timer | None = None
-    outcome: api.Outcome | None = None  # None until the attempt ends
-
-    @property
-    def ended(self) -> bool:
-        """Whether the attempt has an outcome."""
-        return self.outcome is not None
-
-
-@dataclass(slots=True, eq=False, repr=False)
-class OpenRequest:
-    """A request without a final answer, or with an attempt in flight."""
-
-    ident: int  # assigned by the dispatcher; unlike `request_id` unique within the process
-    request: ClientRequest
-    reply: Callable[[FinalAnswer], None]
-    attempts: list[TrackedAttempt] = field(default_factory=list)
-    timer: Timer | None = None
-    closed: bool = False  # the final answer was given, or the client has disconnected
-
-    @property
-    def due_at_us(self) -> int:
-        """Time by which the request must be answered, in microseconds of `clock_us`."""
-        return self.request.due_at_us
-
-
-@dataclass(slots=True, eq=False, repr=False)
-class UnservedLine:
-    """Log line about a request that was not served.
-
-    It is rendered only when it is written: in an overload the rate limit drops most of these lines.
-    """
-
-    open_request: OpenRequest
-    outcome: FinalOutcome
-    elapsed_us: int
-
-    @property
-    def request_id(self) -> str:
-        """The client's X-Request-Id."""
-        return self.open_request.request.request_id.decode()
-
-    def __str__(self) -> str:
-        """Render the outcome, the elapsed time and the attempts as one line."""
-        request = self.open_request.request
-        attempts = ", ".join(
-            f"upstream {attempt.upstream} {attempt.outcome.value if attempt.outcome else 'in flight'} "
-            f"sent at {(attempt.sent_at_us - request.arrived_at_us) // 1000} ms"
-            for attempt in self.open_request.attempts
-        )
-        return (
-            f"request {self.request_id} {self.outcome.value} after {self.elapsed_us // 1000} of "
-            f"{request.deadline_us // 1000} ms: {attempts or 'not sent'}"
-        )
-
-
 class RequestDispatcher:
     """Runs one `Balancer` with clock and timers, and keeps track of the open requests and attempts."""
 
@@ -315,22 +244,13 @@
             return
         self._close(open_request)
         if answer.outcome is not FinalOutcome.SERVED:
-            self._log_unserved(open_request, answer)
+            log_unserved(open_request, answer.outcome)
             if self.retry_detector is not None:
                 self.retry_detector.on_unserved(open_request.request)
             if self.observer is not None and answer.outcome is FinalOutcome.REJECTED:
                 self.observer.on_rejection()
         open_request.reply(answer)
 
-    def _log_unserved(self, open_request: OpenRequest, answer: FinalAnswer) -> None:
-        line = UnservedLine(open_request, answer.outcome, clock_us() - open_request.request.arrived_at_us)
-        fields = {
-            "request": line.request_id,
-            "outcome": answer.outcome.value,
-            "upstreams": [attempt.upstream for attempt in open_request.attempts],
-        }
-        log.info("%s", line, extra=fields)
-
     def _close(self, open_request: OpenRequest) -> None:
         """Mark a request as answered or abandoned, and cancel its attempts that were not written completely."""
         open_request.closed = True
--- a/ryepier/sidecar/endpoint_updates.py
+++ b/ryepier/sidecar/endpoint_updates.py
@@ -27,12 +27,12 @@
     stays whole, as it is applied before there are requests.
     """
     event, addresses = update
-    is_whole_list = event.kind is ListKind.FULL
-    affected_count = max(len(event.upstreams), len(listed) if is_whole_list else 0)
+    is_complete_list = event.kind is ListKind.FULL
+    affected_count = max(len(event.upstreams), len(listed) if is_complete_list else 0)
     if affected_count <= MAX_ENTRIES_PER_TURN or event.kind is ListKind.CACHED:
         return [update]
     entries = sorted(event.upstreams, key=lambda entry: entry.state is UpstreamState.READY)
-    if is_whole_list:
+    if is_complete_list:
         unlisted_ids = [upstream_id for upstream_id in listed if upstream_id not in addresses]
         entries = [*(Upstream(upstream_id, UpstreamState.REMOVED) for upstream_id in unlisted_ids), *entries]
     return [
--- a/ryepier/sidecar/server.py
+++ b/ryepier/sidecar/server.py
@@ -21,8 +21,8 @@
 FIRST_REQUEST_GRACE_S = 0.25  # new connections are not evicted for this long, as clients send a request at once
 CROWD_GRACE_S = 0.03  # the same while connections wait for long
 QUEUE_PATIENCE_SHARE = 0.25  # of the shortest deadline; after this wait a crowd has to move on
-MAX_QUEUE_PATIENCE_S = 1.5  # a peer is owed an error or a close within 3 s of connecting
-SPARE_CLIENTS_SHARE = 8  # one more connection for this many, for requests that have waited so long
+MAX_QUEUE_PATIENCE_S = 1.5  # a peer must get an error or a close within 3 s of connecting
+SPARE_CLIENTS_SHARE = 8  # one more connection for this many, for requests that have waited longer than that
 SWEEP_INTERVAL_S = 0.1
 PARTIAL_RETRY_AFTER_US = 250_000  # Retry-After of rejected partial requests, whose class may be unknown yet
 
--- a/ryepier/sidecar/system.py
+++ b/ryepier/sidecar/system.py
@@ -31,7 +31,7 @@
 
 
 def _accept_queue_length(sock: socket.socket) -> int | None:
-    """Return how many connections wait to be accepted from a listening socket, or None if the system does not tell."""
+    """Return how many connections wait to be accepted from a listening socket; None if the system does not report it."""
     if TCP_INFO is None:
         return None
     try:
@@ -57,7 +57,7 @@
 
 
 def _resident_bytes() -> int:
-    """Return the resident memory of this process with file pages, or 0 where the system does not tell."""
+    """Return the resident memory of this process with file pages, or 0 where the system does not report it."""
     try:
         with open("/proc/self/statm", encoding="ascii") as statistics:
             return int(statistics.read().split()[1]) * resource.getpagesize()
--- a/tests/seeded_sidecar_faults.py
+++ b/tests/seeded_sidecar_faults.py
@@ -14,7 +14,8 @@
 from ryepier.sidecar.client_connection import ClientConnection, ClientState
 from ryepier.sidecar.config import Config
 from ryepier.sidecar.discovery import DiscoveryClient
-from ryepier.sidecar.dispatcher import OpenRequest, RequestDispatcher
+from ryepier.sidecar.dispatcher import RequestDispatcher
+from ryepier.sidecar.open_requests import OpenRequest
 from ryepier.sidecar.requests import Address, AttemptResult, ClientRequest, FinalAnswer, FinalOutcome
 from ryepier.sidecar.server import Server
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -214,5 +214,5 @@
         if module.split(".")[1:2] and module.split(".")[1] in LOG_PACKAGES
         for line in log_lines(path.read_text())
     }
-    assert "UnservedLine" in MODULE_PATHS["ryepier.sidecar.dispatcher"].read_text()
+    assert "UnservedLine" in MODULE_PATHS["ryepier.sidecar.open_requests"].read_text()
     assert logged_lines - {("%s", "info")} == LOG_PAGE_ROWS
