Run the kinds of peers of the experiment strangers side by side

Change: three run at a time, each with a sidecar at an address of its own, and the wait for the last answers ends when a call counts as lost.

--- a/ryepier/experiments/strangers/benchmark.py
+++ b/ryepier/experiments/strangers/benchmark.py
@@ -2,13 +2,14 @@
 
 One real sidecar knows 3,200 converters and gets a steady rate of calls, while peers send each kind of improper input:
 as many as a third of its descriptors, or one that sends requests at full speed. Both the smallest and the largest
-deployment are tried. Claims: the sidecar stays within its memory, files included; calls are answered in time; and no
-peer waits longer than it is owed for an error or a close.
+deployment are tried, some runs at a time. Claims: the sidecar stays within its memory, files included; calls are
+answered in time; and no peer waits longer than it is owed for an error or a close.
 """
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import subprocess
 from collections.abc import AsyncIterator, Mapping, Sequence
@@ -40,7 +41,8 @@
 PEER_SHARE = 3  # peers may hold one descriptor in this many
 SINGLE_PEER_KINDS = ("small-requests", "unsound-requests")
 DURATION_S = {Scale.SMALL: 3.0, Scale.FULL: 10.0}
-LAST_ANSWERS_S = 2.0  # time for the answers to the last calls
+LAST_ANSWERS_S = 1.5  # after the last call: its deadline, and the half second in which an answer is late but not lost
+MAX_PARALLEL_RUNS = 3  # each has a sidecar and a process of peers
 MAX_PEER_WAIT_S = 3.0
 MIN_ANSWERED_SHARE = 0.99
 NEEDED_MEMORY_BYTES = 1_000_000_000
@@ -70,28 +72,29 @@
 
 
 class Addresses(NamedTuple):
-    """The addresses of one trial."""
+    """The addresses that one run uses."""
 
     converters: Address
     agent: Address
     sidecar: Address
 
     @classmethod
-    def of_network(cls, network: int) -> Addresses:
-        """Return the addresses in a loopback network."""
+    def of_network(cls, network: int, index: int = 0) -> Addresses:
+        """Return the addresses in a loopback network, with that of the sidecar with an index."""
         return cls(
             (f"127.{network}.0.1", CONVERTER_PORT),
             (f"127.{network}.252.1", DISCOVERY_PORT),
-            (f"127.{network}.253.1", SIDECAR_PORT),
+            (f"127.{network}.253.{index + 1}", SIDECAR_PORT),
         )
 
 
 @asynccontextmanager
 async def start_sidecar(
-    deployment: Deployment, addresses: Addresses, trial: TrialConfig
+    deployment: Deployment, kind: str, addresses: Addresses, trial: TrialConfig
 ) -> AsyncIterator[SidecarUnderTest]:
-    """Start a sidecar with a deployment's limits, and kill it on leaving."""
-    config_path = trial.folder / f"sidecar-{deployment.name}.json"
+    """Start a sidecar with a deployment's limits, and kill it on leaving; `kind` is part of its files' names."""
+    name = f"sidecar-{deployment.name}-{kind}"
+    config_path = trial.folder / f"{name}.json"
     limits = {"cores": 1.0, "memory_mb": deployment.memory_mb, "sockets": deployment.descriptors}
     config_path.write_text(
         make_configuration(
@@ -100,7 +103,7 @@
     )
     fault = trial.seeded_fault
     command: Sequence[str] = seeded_faults.command_with_fault(fault) if fault else SIDECAR_COMMAND
-    with open(trial.folder / f"sidecar-{deployment.name}.log", "ab") as log:
+    with open(trial.folder / f"{name}.log", "wb") as log:
         process = subprocess.Popen(
             command, env=os.environ | {"BALANCER_CONFIG": str(config_path)}, stdout=log, stderr=log
         )
@@ -131,7 +134,7 @@
     """Return the figures of one deployment beside one kind of peers."""
     count = 1 if kind in SINGLE_PEER_KINDS else deployment.descriptors // PEER_SHARE
     config = CrowdConfig(addresses.sidecar, kind, count, DURATION_S[trial.scale])
-    async with start_sidecar(deployment, addresses, trial) as sidecar:
+    async with start_sidecar(deployment, kind, addresses, trial) as sidecar:
         start_mb = sidecar.memory_mb("VmRSS")
         target, result = await run_beside_peers(sidecar, config, trial.seed)
         peak_mb = sidecar.memory_mb("VmHWM")
@@ -151,16 +154,21 @@
 
 async def measure_all(trial: TrialConfig) -> dict[str, float]:
     """Return the figures of both deployments beside each kind of peers."""
-    addresses = Addresses.of_network(find_network())
-    converters = ConvertersConfig(addresses.converters, {KNOWN_COUNT: addresses.agent})
+    network = find_network()
+    shared_addresses = Addresses.of_network(network)
+    converters = ConvertersConfig(shared_addresses.converters, {KNOWN_COUNT: shared_addresses.agent})
     arguments = [msgspec.json.encode(converters).decode()]
-    figures: dict[str, float] = {}
+    semaphore = asyncio.Semaphore(MAX_PARALLEL_RUNS)
+
+    async def measure_in_turn(index: int, deployment: Deployment, kind: str) -> dict[str, float]:
+        async with semaphore:
+            return await measure_kind(deployment, kind, Addresses.of_network(network, index), trial)
+
     async with lightweight.start_process("ryepier.experiments.scale.lightweight_converters", arguments) as process:
         await process.read()
-        for deployment in DEPLOYMENTS:
-            for kind in INPUTS:
-                figures |= await measure_kind(deployment, kind, addresses, trial)
-    return figures
+        runs = itertools.product(DEPLOYMENTS, INPUTS)
+        results = await asyncio.gather(*(measure_in_turn(index, *run) for index, run in enumerate(runs)))
+    return {name: value for result in results for name, value in result.items()}
 
 
 def make_claims(figures: Mapping[str, float]) -> list[Claim]:
@@ -193,7 +201,10 @@
 def measure(trial: TrialConfig) -> Measurement:
     """Run the benchmark. Raises InsufficientResourcesError and HarnessError."""
     peers = max(deployment.descriptors for deployment in DEPLOYMENTS) // PEER_SHARE
-    check_requirements(ResourceRequirements(4, NEEDED_MEMORY_BYTES, sockets=2 * peers), this_machine())
+    requirements = ResourceRequirements(
+        2 + 2 * MAX_PARALLEL_RUNS, NEEDED_MEMORY_BYTES, sockets=2 * peers * MAX_PARALLEL_RUNS
+    )
+    check_requirements(requirements, this_machine())
     figures = asyncio.run(measure_all(trial))
     return Measurement(make_claims(figures), figures)
 
