--- a/ryepier/sidecar/system.py
+++ b/ryepier/sidecar/system.py
@@ -31,7 +31,7 @@
 
 
 def _accept_queue_length(sock: socket.socket) -> int | None:
-    """Return how many connections wait to be accepted from a listening socket; None if the system does not report it."""
+    """Return how many connections wait to be accepted from a listener; None if the system does not report it."""
     if TCP_INFO is None:
         return None
     try:
