--- a/ryepier/sidecar/read_pacer.py
+++ b/ryepier/sidecar/read_pacer.py
@@ -18,6 +18,8 @@
 MAX_TURN_WORK = 12_000  # units in one iteration of the event loop; the last part that is parsed may exceed it
 MAX_HEAVY_TURN_WORK = 3_000  # units of connections that are heavy, which leaves time for the others
 LIGHT_WORK = 4_000  # units within WINDOW_S; a connection with more is heavy
+LINE_END = b"\r\n"
+MAX_LIGHT_LINES = 250  # in one read; a proper head has fewer, and more separate chunks or requests
 WINDOW_S = 0.5
 
 
@@ -66,7 +68,8 @@
     """Bounds the parsing in one iteration of the event loop.
 
     Bytes of a connection that needed little work recently are parsed at once, up to MAX_TURN_WORK in one iteration;
-    beyond that they wait for the next ones. Heavy connections always wait, behind the others.
+    beyond that they wait for the next ones. Bytes of heavy connections, and those with many lines, always wait, behind
+    the others.
     """
 
     def __init__(self) -> None:
@@ -80,7 +83,8 @@
 
     def on_bytes(self, connection: PacedProtocol, data: bytes) -> None:
         """Parse bytes now if the connection is light and the iteration has time; otherwise queue the connection."""
-        is_heavy = self._is_heavy(connection)
+        # Counting the lines costs next to nothing, so the work is known before the bytes are parsed.
+        is_heavy = data.count(LINE_END) > MAX_LIGHT_LINES or self._is_heavy(connection)
         if is_heavy or self.turn_work >= MAX_TURN_WORK:
             assert connection.transport is not None
             connection.unparsed_bytes = data
--- a/tests/test_read_pacing.py
+++ b/tests/test_read_pacing.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import pytest
 
+from ryepier.sidecar.dispatcher import RequestDispatcher
 from ryepier.sidecar.request_reader import RequestReader
+from ryepier.sidecar.requests import ClientRequest, FinalAnswer
 from ryepier.sidecar.upstream_connection import ResponseReader
 from tests.network_peers import OK, Upstream, read_message, request, respond_in_turn, run_async, sidecar, status_of
 
@@ -76,6 +78,36 @@
     assert probe.total > MAX_TURN_CALLBACKS > probe.max_turn_callbacks
 
 
+# Guards against requests that wait for each peer's first chunks: until these were parsed every peer counted as light.
+def test_request_does_not_wait_for_the_first_chunks_of_each_peer(monkeypatch: pytest.MonkeyPatch) -> None:
+    probe = TurnProbe(RequestReader, monkeypatch)
+    callbacks_before: list[int] = []
+    on_request = RequestDispatcher.on_request
+
+    def count_and_accept(
+        dispatcher: RequestDispatcher, client_request: ClientRequest, reply: Callable[[FinalAnswer], None]
+    ) -> int:
+        callbacks_before.append(probe.total + probe.callbacks)
+        return on_request(dispatcher, client_request, reply)
+
+    monkeypatch.setattr(RequestDispatcher, "on_request", count_and_accept)
+
+    async def test() -> None:
+        async with sidecar(Upstream(respond_in_turn(OK))) as running_sidecar, watched(probe):
+            connections = [await running_sidecar.connect() for _ in range(PEERS + 1)]
+            reader, writer = connections.pop()
+            for _, peer_writer in connections:
+                peer_writer.write(CHUNKED_HEAD + 4_000 * CHUNK)
+            await asyncio.sleep(0)
+            writer.write(request("pay"))
+            assert status_of(await read_message(reader)) == 200
+            for _, open_writer in [*connections, (reader, writer)]:
+                open_writer.close()
+
+    run_async(test)
+    assert callbacks_before[0] < MAX_TURN_CALLBACKS
+
+
 # The same cause at converters: their responses in one-byte chunks were parsed without a limit, too.
 def test_responses_in_small_chunks_do_not_keep_the_event_loop_from_other_clients(
     monkeypatch: pytest.MonkeyPatch,
