Wait for an answer outside of the event loop in a test of disconnects

Cause: the test called recv in the thread of the event loop, in which the sidecar runs, too. It passed only where the sidecar had read 64 kB before sendall of 500 kB returned. A stack of the hung worker showed it.

Change: the answer is waited for in a thread; what is checked is the same.

--- a/tests/test_client_disconnect.py
+++ b/tests/test_client_disconnect.py
@@ -88,7 +88,8 @@
         await testbed.occupy_only_slot()
         with await testbed.send_buffered_request() as client:
             await asyncio.to_thread(client.sendall, b"x" * 500_000)
-            assert client.recv(100).startswith(b"HTTP/1.1 400 ")
+            answer = await asyncio.to_thread(client.recv, 100)  # not in the event loop, which the sidecar needs
+            assert answer.startswith(b"HTTP/1.1 400 ")
             # the client is still connected, but a disconnect would go unnoticed while reading is paused
             testbed.converter.respond(OK)
             await testbed.check_only_forwarded(1)
