--- a/ryepier/fronts/graphql.py
+++ b/ryepier/fronts/graphql.py
@@ -15,7 +15,7 @@
 from ryepier.sidecar.components import FrontEnd
 from ryepier.sidecar.config import Config, parse_address
 from ryepier.sidecar.dispatcher import RequestDispatcher
-from ryepier.sidecar.request_buffers import max_buffered_bytes
+from ryepier.sidecar.request_buffers import max_buffered_bytes, max_client_connections
 from ryepier.sidecar.request_parsing import (
     HOP_BY_HOP_HEADERS,
     IDENTIFIER_PATTERN,
@@ -256,12 +256,13 @@
 
     All front ends together may use half of the descriptors and the memory for requests; each gets an equal share.
     """
+    used_bytes = system.resident_bytes()
     return Server(
         dispatcher,
         config.settings,
         address,
-        config.max_descriptors // 2 // front_end_count,
-        max_buffered_bytes(config.memory_mb, system.resident_bytes()) // front_end_count,
+        max_client_connections(config.max_descriptors, config.memory_mb, used_bytes) // front_end_count,
+        max_buffered_bytes(config.memory_mb, used_bytes) // front_end_count,
         dialect,
     )
 
--- a/ryepier/sidecar/components.py
+++ b/ryepier/sidecar/components.py
@@ -14,7 +14,7 @@
 from ryepier.sidecar.discovery import DiscoveryClient
 from ryepier.sidecar.dispatcher import RequestDispatcher
 from ryepier.sidecar.endpoint_registry import EndpointRegistry
-from ryepier.sidecar.request_buffers import max_buffered_bytes
+from ryepier.sidecar.request_buffers import max_buffered_bytes, max_client_connections
 from ryepier.sidecar.server import Server
 
 
@@ -93,12 +93,13 @@
     """Create the front end that accepts HTTP/1.1 requests in the platform's protocol."""
     # Half of the descriptors are for clients and 3/8 for connections to upstreams. The remaining 1/8 are for discovery,
     # the listener, the log and connections that are being closed.
+    used_bytes = system.resident_bytes()
     return Server(
         dispatcher,
         config.settings,
         config.listen,
-        max_clients=config.max_descriptors // 2,
-        max_buffered_bytes=max_buffered_bytes(config.memory_mb, system.resident_bytes()),
+        max_clients=max_client_connections(config.max_descriptors, config.memory_mb, used_bytes),
+        max_buffered_bytes=max_buffered_bytes(config.memory_mb, used_bytes),
     )
 
 
--- a/ryepier/sidecar/read_pacer.py
+++ b/ryepier/sidecar/read_pacer.py
@@ -13,13 +13,15 @@
 from ryepier.sidecar import system
 
 READ_BYTES = 8 * 1024  # the most bytes that are read and parsed at a time
+MAX_WAITING_BYTES = 256 * 1024  # bytes of all connections that are read but not parsed; beyond it reads are short
+SHORT_READ_BYTES = 512
 BYTES_PER_UNIT = 64  # bytes within a header, chunk or body cost little
 REQUEST_WORK = 1_500  # units of handing a request to the dispatcher
 MAX_TURN_WORK = 12_000  # units in one iteration of the event loop; the last part that is parsed may exceed it
 MAX_HEAVY_TURN_WORK = 3_000  # units of connections that are heavy, which leaves time for the others
 LIGHT_WORK = 4_000  # units within WINDOW_S; a connection with more is heavy
 LINE_END = b"\r\n"
-MAX_LIGHT_LINES = 250  # in one read; a proper head has fewer, and more separate chunks or requests
+MAX_LIGHT_LINES = 110  # in one read; a proper head has fewer, and more separate chunks or requests
 WINDOW_S = 0.5
 
 
@@ -54,7 +56,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next bytes, which all connections share."""
-        return self.read_pacer.buffer
+        return self.read_pacer.next_buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes in the buffer, now or in a later iteration of the event loop."""
@@ -77,10 +79,15 @@
         self.loop = asyncio.get_running_loop()
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.turn_work = 0
+        self.waiting_bytes = 0  # total length of `PacedProtocol.unparsed_bytes`
         self.light_connections: deque[PacedProtocol] = deque()
         self.heavy_connections: deque[PacedProtocol] = deque()
         self.is_turn_scheduled = False
 
+    def next_buffer(self) -> memoryview:
+        """Return the buffer for the next bytes of a connection."""
+        return self.buffer[:SHORT_READ_BYTES] if self.waiting_bytes >= MAX_WAITING_BYTES else self.buffer
+
     def on_bytes(self, connection: PacedProtocol, data: bytes) -> None:
         """Parse bytes now if the connection is light and the iteration has time; otherwise queue the connection."""
         # Counting the lines costs next to nothing, so the work is known before the bytes are parsed.
@@ -88,6 +95,7 @@
         if is_heavy or self.turn_work >= MAX_TURN_WORK:
             assert connection.transport is not None
             connection.unparsed_bytes = data
+            self.waiting_bytes += len(data)
             connection.unread_since = system.monotonic()
             connection.transport.pause_reading()
             (self.heavy_connections if is_heavy else self.light_connections).append(connection)
@@ -133,6 +141,7 @@
                 return
             connection = connections.popleft()
             data, connection.unparsed_bytes = connection.unparsed_bytes, b""
+            self.waiting_bytes -= len(data)
             transport = connection.transport
             if transport is None or transport.is_closing():
                 continue
--- a/ryepier/sidecar/request_buffers.py
+++ b/ryepier/sidecar/request_buffers.py
@@ -11,6 +11,9 @@
 MEMORY_SHARE = 8  # requests may take one part in this many of the sidecar's memory
 REMAINING_SHARE = 4  # and one part in this many of what is left; the rest is for connections and responses
 MIN_BUFFERED_BYTES = 256 * 1024  # a few of the longest requests
+CONNECTION_SHARE = 2  # client connections themselves may take one part in this many of what is left
+CONNECTION_BYTES = 10 * 1024  # memory of a connection without a request
+MIN_CONNECTIONS = 64
 BYTES_PER_MB = 1024 * 1024
 
 
@@ -24,6 +27,16 @@
     return max(MIN_BUFFERED_BYTES, min(limit_bytes // MEMORY_SHARE, remaining_bytes // REMAINING_SHARE))
 
 
+def max_client_connections(max_descriptors: int, memory_mb: int, used_bytes: int) -> int:
+    """Return how many connections clients may have open: half of the descriptors, or fewer if memory is short.
+
+    `memory_mb` and `used_bytes` are those of `max_buffered_bytes`.
+    """
+    remaining_bytes = memory_mb * BYTES_PER_MB - used_bytes
+    affordable = max(MIN_CONNECTIONS, remaining_bytes // CONNECTION_SHARE // CONNECTION_BYTES)
+    return min(max_descriptors // 2, affordable)
+
+
 @dataclass(slots=True)
 class BufferedRequest:
     """A request that is buffered, partial or open."""
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -12,7 +12,13 @@
 import pytest
 
 from ryepier.sidecar.client_connection import ClientState
-from ryepier.sidecar.request_buffers import MIN_BUFFERED_BYTES, max_buffered_bytes
+from ryepier.sidecar.request_buffers import (
+    CONNECTION_BYTES,
+    MIN_BUFFERED_BYTES,
+    MIN_CONNECTIONS,
+    max_buffered_bytes,
+    max_client_connections,
+)
 from ryepier.sidecar.request_parsing import RequestError
 from ryepier.sidecar.request_reader import MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestReader
 from ryepier.sidecar.upstream_connection import ResponseReader, ResponseTooLongError
@@ -184,6 +190,15 @@
     assert max_buffered_bytes(32, 40 * megabyte) == MIN_BUFFERED_BYTES
 
 
+# Guards against the kill for memory: beside a long list 512 connections alone took most of what was left.
+def test_clients_may_have_fewer_connections_where_less_memory_is_left() -> None:
+    megabyte = 1024 * 1024
+    assert max_client_connections(1024, 192, 26 * megabyte) == 512
+    assert max_client_connections(256, 32, 26 * megabyte) == 128
+    assert max_client_connections(1024, 32, 26 * megabyte) == 3 * megabyte // CONNECTION_BYTES
+    assert max_client_connections(1024, 32, 40 * megabyte) == MIN_CONNECTIONS
+
+
 # Guards against limits that depend on how the bytes arrive: a long head in one read was accepted and forwarded.
 @pytest.mark.parametrize("data", [request_with_short_lines(MAX_HEAD_BYTES), request("pay", extra="a:b\r\n" * 150)])
 @pytest.mark.parametrize("part_bytes", [1, 1000, READ_BYTES])
--- a/tests/test_read_pacing.py
+++ b/tests/test_read_pacing.py
@@ -9,10 +9,12 @@
 import pytest
 
 from ryepier.sidecar.dispatcher import RequestDispatcher
+from ryepier.sidecar.read_pacer import MAX_WAITING_BYTES, READ_BYTES, SHORT_READ_BYTES
 from ryepier.sidecar.request_reader import RequestReader
 from ryepier.sidecar.requests import ClientRequest, FinalAnswer
 from ryepier.sidecar.upstream_connection import ResponseReader
 from tests.network_peers import OK, Upstream, read_message, request, respond_in_turn, run_async, sidecar, status_of
+from tests.sidecar_probes import record_servers
 
 MAX_TURN_CALLBACKS = 20_000  # some milliseconds
 MAX_CONNECTION_CALLBACKS = 5_000  # of one connection
@@ -108,6 +110,28 @@
     assert callbacks_before[0] < MAX_TURN_CALLBACKS
 
 
+# Guards against the kill for memory: what was read and had to wait took 8 KiB of each connection.
+def test_bytes_that_wait_to_be_parsed_take_little_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    servers = record_servers(monkeypatch)
+    max_waiting_bytes = 0
+
+    async def test() -> None:
+        nonlocal max_waiting_bytes
+        async with sidecar(Upstream(respond_in_turn(OK))) as running_sidecar:
+            peers = [await running_sidecar.connect() for _ in range(PEERS)]
+            for _, writer in peers:
+                writer.write(CHUNKED_HEAD + 4_000 * CHUNK)
+            for _ in range(100):
+                await asyncio.sleep(0)
+                clients = [client for group in servers[0].clients_by_state.values() for client in group]
+                max_waiting_bytes = max(max_waiting_bytes, sum(len(client.unparsed_bytes) for client in clients))
+            for _, writer in peers:
+                writer.close()
+
+    run_async(test)
+    assert 0 < max_waiting_bytes <= MAX_WAITING_BYTES + READ_BYTES + PEERS * SHORT_READ_BYTES
+
+
 # The same cause at converters: their responses in one-byte chunks were parsed without a limit, too.
 def test_responses_in_small_chunks_do_not_keep_the_event_loop_from_other_clients(
     monkeypatch: pytest.MonkeyPatch,
