--- a/ryepier/sidecar/client_listener.py
+++ b/ryepier/sidecar/client_listener.py
@@ -33,6 +33,9 @@
     def has_capacity(self) -> bool:
         """Return whether a connection may be opened, if need be after an eviction."""
 
+    def free_capacity(self) -> bool:
+        """Evict a connection that has no open request, and return whether there is capacity now."""
+
     def has_spare_capacity(self) -> bool:
         """Return whether a connection may be opened for a request that has waited too long."""
 
@@ -103,7 +106,7 @@
                 return
             except OSError as error:
                 log.warning("connection not accepted: %r", error)
-                self.acceptor.has_capacity()
+                self.acceptor.free_capacity()
                 self.pause()
                 return
             self.serve_or_reject(sock, has_capacity)
--- a/ryepier/sidecar/discovery.py
+++ b/ryepier/sidecar/discovery.py
@@ -187,22 +187,17 @@
 
     def _read_part(self) -> None:
         """Read a part of the first pending message, and apply the message if that was its last part."""
-        message = self.pending_messages[0]
+        message = self.pending_messages.popleft()
+        update = None
         try:
             update = next(message.parts)
-        except EndpointListError:
-            self._remove_first_message()
-            raise
-        if update is None:
-            self.loop.call_soon(self._read_next_part)
-            return
-        self._remove_first_message()
-        self._apply(update, message)
-
-    def _remove_first_message(self) -> None:
-        self.pending_messages.popleft()
-        if self.pending_messages:
-            self.loop.call_soon(self._read_next_part)
+            if update is None:
+                self.pending_messages.appendleft(message)
+        finally:  # an error in one message must not keep later ones from being read
+            if self.pending_messages:
+                self.loop.call_soon(self._read_next_part)
+        if update is not None:
+            self._apply(update, message)
 
     def _read_next_part(self) -> None:
         """Read a part in an iteration of its own, and fail the watch that brought the message if it is malformed."""
--- a/tests/network_peers.py
+++ b/tests/network_peers.py
@@ -14,6 +14,7 @@
 
 from ryepier.balancer.interface import Idempotency, IdempotencyScope, RequestClass, Settings
 from ryepier.sidecar import discovery as discovery_module
+from ryepier.sidecar import system
 from ryepier.sidecar.config import Config
 from ryepier.sidecar.discovery import AGENT_CONNECT_TIMEOUT_S
 from ryepier.sidecar.serving import serve
@@ -372,7 +373,12 @@
     config = sidecar_config(port, agent.port, cached_list, **changes)
     task = asyncio.create_task(serve(config, stop, reload))
     try:
-        with mock.patch.object(discovery_module, "FIRST_LIST_TIMEOUT_S", first_list_timeout_s):
+        with (
+            mock.patch.object(discovery_module, "FIRST_LIST_TIMEOUT_S", first_list_timeout_s),
+            mock.patch.object(
+                system, "resident_bytes", return_value=0
+            ),  # that of the test process is not the sidecar's
+        ):
             await wait_until_listening(port, task)
         yield Sidecar(port, stop, reload, task)
     finally:
--- a/tests/test_connection_eviction.py
+++ b/tests/test_connection_eviction.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 
 import pytest
@@ -151,3 +152,26 @@
                 writer.close()
 
     run_async(test)
+
+
+def test_idle_connection_is_evicted_if_no_descriptor_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without this, a sidecar without descriptors would accept no connection until one of its own ends."""
+    servers = record_servers(monkeypatch)
+
+    def fail(listener: socket.socket) -> None:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    async def test() -> None:
+        async with sidecar(Upstream(respond_in_turn(OK))) as running_sidecar:
+            _, writer, _ = await answered_connection(running_sidecar, servers)
+            [server] = servers
+            await wait_until(lambda: server.connection_count() == 1)
+            with monkeypatch.context() as patch:
+                patch.setattr(socket.socket, "accept", fail)
+                waiting_client = socket.create_connection(("127.0.0.1", running_sidecar.port))
+                server.listener.accept()
+            assert server.connection_count() == 0
+            waiting_client.close()
+            writer.close()
+
+    run_async(test)
