--- a/ryepier/sidecar/client_listener.py
+++ b/ryepier/sidecar/client_listener.py
@@ -56,6 +56,7 @@
         self.address = address
         self.patience_s = patience_s
         self.queue = AcceptQueue(LISTEN_BACKLOG)
+        self.trusts_queue_length = True  # False once a connection came from a queue that was reported as empty
         self.knows_queue_length = False
         self.sock: socket.socket | None = None
 
@@ -82,18 +83,19 @@
 
         asyncio's own server would accept all of them at once, and pause for a second if no descriptor is left.
         """
-        self.accept_up_to(ACCEPT_BATCH_SIZE)
+        self.accept_up_to(ACCEPT_BATCH_SIZE, is_readable=True)
 
-    def accept_up_to(self, limit: int) -> None:
+    def accept_up_to(self, limit: int, is_readable: bool = False) -> None:
         """Accept up to `limit` waiting connections.
 
         If there is no capacity for too long, a connection is accepted only to look at it: one with a complete request
         gets a spare connection, any other is rejected or, if it is silent, closed. Otherwise requests would wait behind
-        a crowd for longer than their time.
+        a crowd for longer than their time. A listener that `is_readable` has a connection, whatever the length says.
         """
         assert self.sock is not None
-        for _ in range(limit):
-            if self.observe_queue(self.sock) == 0:
+        for index in range(limit):
+            length = self.observe_queue(self.sock)
+            if length == 0 and (index or not is_readable):
                 return
             has_capacity = self.acceptor.has_capacity()
             if not has_capacity and not self.is_overdue():
@@ -109,6 +111,7 @@
                 self.acceptor.free_capacity()
                 self.pause()
                 return
+            self.trusts_queue_length &= length != 0
             self.serve_or_reject(sock, has_capacity)
         if self.observe_queue(self.sock) != 0:
             # Without waiting for the listener to be readable: where the system does not report the queue's length, only
@@ -118,7 +121,7 @@
 
     def observe_queue(self, sock: socket.socket) -> int | None:
         """Record and return how many connections wait, or None if the system does not report it."""
-        length = system.accept_queue_length(sock)
+        length = system.accept_queue_length(sock) if self.trusts_queue_length else None
         self.knows_queue_length = length is not None
         self.queue.observe(length, system.monotonic())
         return length
@@ -177,4 +180,4 @@
         """Accept connections again after a pause."""
         if self.sock is not None:
             self.loop.add_reader(self.sock, self.accept)
-            self.accept()
+            self.accept_up_to(ACCEPT_BATCH_SIZE)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -136,6 +136,20 @@
     assert told_ms > LONG_DEADLINE_MS / 2
 
 
+# Guards against a sidecar that accepts nothing where the system reports each queue as empty.
+def test_connections_are_accepted_where_the_queue_seems_empty(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(system, "accept_queue_length", lambda sock: 0)
+    servers = record_servers(monkeypatch)
+
+    async def test() -> None:
+        async with sidecar(Upstream(respond_in_turn(OK))) as running_sidecar:
+            for _ in range(3):
+                assert status_of(await running_sidecar.fetch(request("pay"))) == 200
+            assert not servers[0].listener.trusts_queue_length
+
+    run_async(test)
+
+
 # Guards against requests that count as late though they have just arrived, after connections that came together.
 @pytest.mark.parametrize("count", [ACCEPT_BATCH_SIZE, PLACES])
 def test_request_long_after_connections_that_came_together_has_its_full_time(count: int) -> None:
